--- /dev/null
+++ b/configuration/src/main/java/org/foxtailridge/configuration/key/package-info.java
@@ -0,0 +1,2 @@
+/** Keys of callers: generation, hashing and comparison. */
+package org.foxtailridge.configuration.key;
--- /dev/null
+++ b/configuration/src/main/java/org/foxtailridge/configuration/model/package-info.java
@@ -0,0 +1,2 @@
+/** What operators list: plans, client accounts, models, adapters, endpoints, services and keys. */
+package org.foxtailridge.configuration.model;
--- /dev/null
+++ b/core/src/main/java/org/foxtailridge/core/name/ClientAccountName.java
@@ -0,0 +1,28 @@
+package org.foxtailridge.core.name;
+
+/**
+ * Name of a client account.
+ *
+ * @param value the name; see {@link Names#requireName}
+ */
+public record ClientAccountName(String value) implements Comparable<ClientAccountName> {
+    /** Checks the name. */
+    public ClientAccountName {
+        Names.requireName(value);
+    }
+
+    /** Returns the typed form of a name. */
+    public static ClientAccountName of(String value) {
+        return new ClientAccountName(value);
+    }
+
+    @Override
+    public int compareTo(ClientAccountName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/foxtailridge/core/thread/package-info.java
@@ -0,0 +1,2 @@
+/** Threads for duties, joined by bounded rings. */
+package org.foxtailridge.core.thread;
