--- /dev/null
+++ b/core/src/main/java/org/foxtailridge/core/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON codec shared by all modules. */
+package org.foxtailridge.core.json;
