--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/caller/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers. */
+package org.foxtailridge.node.caller;
--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/operator/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards operators. */
+package org.foxtailridge.node.operator;
--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/package-info.java
@@ -0,0 +1,2 @@
+/** The process on each entry VM. */
+package org.foxtailridge.node;
--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between nodes. */
+package org.foxtailridge.node.peer;
--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/settings/SettingType.java
@@ -0,0 +1,11 @@
+package org.foxtailridge.node.settings;
+
+/** Types of values in the settings file. */
+public enum SettingType {
+    /** A whole number. */
+    NUMBER,
+    /** A text. */
+    TEXT,
+    /** True or false. */
+    FLAG
+}
