--- /dev/null
+++ b/routing/src/main/java/org/foxtailridge/routing/AttemptEnd.java
@@ -0,0 +1,13 @@
+package org.foxtailridge.routing;
+
+/** How an attempt ended. */
+public enum AttemptEnd {
+    /** The whole answer arrived. */
+    FINISHED,
+    /** This node cancelled it. */
+    CANCELLED,
+    /** The endpoint said that it has not begun and won't. */
+    NOT_STARTED,
+    /** The connection broke, the answer was malformed or didn't arrive in time. */
+    FAILED
+}
--- /dev/null
+++ b/routing/src/main/java/org/foxtailridge/routing/RouteRequest.java
@@ -0,0 +1,201 @@
+package org.foxtailridge.routing;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailridge.configuration.model.WorkClass;
+import org.foxtailridge.core.name.EndpointName;
+
+/**
+ * One request as routing sees it. Immutable.
+ *
+ * <pre>{@code
+ * RouteRequest request =
+ *         RouteRequest.builder("request-1", new ModelTarget("lots", "v1", Optional.empty()))
+ *                 .clientAccount("auctions")
+ *                 .workClass(WorkClass.INTERACTIVE)
+ *                 .promptTokens(400)
+ *                 .maximumTokens(120)
+ *                 .build();
+ * }</pre>
+ */
+public final class RouteRequest {
+    private final String mRequestId;
+    private final RouteTarget mTarget;
+    private final String mClientAccount;
+    private final WorkClass mWorkClass;
+    private final List<PromptPrefix> mPrefixes;
+    private final int mPromptTokens;
+    private final int mMaximumTokens;
+    private final Optional<Instant> mDeadline;
+    private final Set<EndpointName> mExcluded;
+    private final boolean mIsolated;
+
+    private RouteRequest(Builder builder) {
+        mRequestId = builder.mRequestId;
+        mTarget = builder.mTarget;
+        mClientAccount = builder.mClientAccount;
+        mWorkClass = builder.mWorkClass;
+        mPrefixes = builder.mPrefixes;
+        mPromptTokens = builder.mPromptTokens;
+        mMaximumTokens = builder.mMaximumTokens;
+        mDeadline = builder.mDeadline;
+        mExcluded = builder.mExcluded;
+        mIsolated = builder.mIsolated;
+    }
+
+    /** Returns a builder for a request. */
+    public static Builder builder(String requestId, RouteTarget target) {
+        return new Builder(requestId, target);
+    }
+
+    /** Returns a builder that starts with the values of this request. */
+    public Builder toBuilder() {
+        Builder builder = new Builder(mRequestId, mTarget);
+        builder.mClientAccount = mClientAccount;
+        builder.mWorkClass = mWorkClass;
+        builder.mPrefixes = mPrefixes;
+        builder.mPromptTokens = mPromptTokens;
+        builder.mMaximumTokens = mMaximumTokens;
+        builder.mDeadline = mDeadline;
+        builder.mExcluded = mExcluded;
+        builder.mIsolated = mIsolated;
+        return builder;
+    }
+
+    /** Returns the identifier of the request. */
+    public String requestId() {
+        return mRequestId;
+    }
+
+    /** Returns the model or service. */
+    public RouteTarget target() {
+        return mTarget;
+    }
+
+    /** Returns the name of the client account. */
+    public String clientAccount() {
+        return mClientAccount;
+    }
+
+    /** Returns the class of work. */
+    public WorkClass workClass() {
+        return mWorkClass;
+    }
+
+    /** Returns the prefixes of the prompt, from the shortest to the longest. */
+    public List<PromptPrefix> prefixes() {
+        return mPrefixes;
+    }
+
+    /** Returns the length of the prompt, in tokens. */
+    public int promptTokens() {
+        return mPromptTokens;
+    }
+
+    /** Returns the largest number of tokens of the answer. */
+    public int maximumTokens() {
+        return mMaximumTokens;
+    }
+
+    /** Returns the instant by which the first token or, for work due by a time, the end is due. */
+    public Optional<Instant> deadline() {
+        return mDeadline;
+    }
+
+    /** Returns endpoints that must not be chosen. */
+    public Set<EndpointName> excluded() {
+        return mExcluded;
+    }
+
+    /** Returns whether the request may run only where nothing of this node runs beside it. */
+    public boolean isolated() {
+        return mIsolated;
+    }
+
+    /** Returns prompt and answer together, in tokens. */
+    public int totalTokens() {
+        return mPromptTokens + mMaximumTokens;
+    }
+
+    /** Builds a {@link RouteRequest}. */
+    public static final class Builder {
+        private final String mRequestId;
+        private final RouteTarget mTarget;
+        private String mClientAccount = "";
+        private WorkClass mWorkClass = WorkClass.INTERACTIVE;
+        private List<PromptPrefix> mPrefixes = List.of();
+        private int mPromptTokens;
+        private int mMaximumTokens;
+        private Optional<Instant> mDeadline = Optional.empty();
+        private Set<EndpointName> mExcluded = Set.of();
+        private boolean mIsolated;
+
+        private Builder(String requestId, RouteTarget target) {
+            mRequestId = Objects.requireNonNull(requestId, "requestId");
+            mTarget = Objects.requireNonNull(target, "target");
+        }
+
+        /** Sets the name of the client account; empty for open routes. */
+        public Builder clientAccount(String clientAccount) {
+            mClientAccount = Objects.requireNonNull(clientAccount, "clientAccount");
+            return this;
+        }
+
+        /** Sets the class of work. */
+        public Builder workClass(WorkClass workClass) {
+            mWorkClass = Objects.requireNonNull(workClass, "workClass");
+            return this;
+        }
+
+        /** Sets the prefixes of the prompt, from the shortest to the longest. */
+        public Builder prefixes(List<PromptPrefix> prefixes) {
+            mPrefixes = List.copyOf(prefixes);
+            return this;
+        }
+
+        /** Sets the length of the prompt, in tokens. */
+        public Builder promptTokens(int tokens) {
+            mPromptTokens = requireNotNegative(tokens);
+            return this;
+        }
+
+        /** Sets the largest number of tokens of the answer. */
+        public Builder maximumTokens(int tokens) {
+            mMaximumTokens = requireNotNegative(tokens);
+            return this;
+        }
+
+        /** Sets the instant by which the first token or, for work due by a time, the end is due. */
+        public Builder deadline(Instant deadline) {
+            mDeadline = Optional.of(deadline);
+            return this;
+        }
+
+        /** Sets endpoints that must not be chosen. */
+        public Builder excluded(Set<EndpointName> excluded) {
+            mExcluded = Set.copyOf(excluded);
+            return this;
+        }
+
+        /** Sets whether the request may run only where nothing of this node runs beside it. */
+        public Builder isolated(boolean isolated) {
+            mIsolated = isolated;
+            return this;
+        }
+
+        /** Returns the request. */
+        public RouteRequest build() {
+            return new RouteRequest(this);
+        }
+
+        private static int requireNotNegative(int tokens) {
+            if (tokens < 0) {
+                throw new IllegalArgumentException("tokens must not be negative but was " + tokens);
+            }
+            return tokens;
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/EndpointDirectory.java
@@ -0,0 +1,181 @@
+package org.foxtailridge.routing.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.foxtailridge.configuration.model.Configuration;
+import org.foxtailridge.configuration.model.Endpoint;
+import org.foxtailridge.configuration.model.EndpointKind;
+import org.foxtailridge.configuration.model.Service;
+import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.routing.EndpointState;
+import org.foxtailridge.routing.EngineRole;
+import org.foxtailridge.routing.LoadReport;
+import org.foxtailridge.routing.Resident;
+import org.foxtailridge.routing.ResidentState;
+import org.foxtailridge.routing.RouteTarget;
+import org.foxtailridge.routing.internal.CandidateKey.AdapterKey;
+import org.foxtailridge.routing.internal.CandidateKey.AnyVersionKey;
+import org.foxtailridge.routing.internal.CandidateKey.LoadingKey;
+import org.foxtailridge.routing.internal.CandidateKey.ModelKey;
+import org.foxtailridge.routing.internal.CandidateKey.PoolKey;
+
+/** Listed endpoints, with an index from what they can serve. */
+public final class EndpointDirectory {
+    private final Map<EndpointName, EndpointEntry> mEntries = new HashMap<>();
+    private final Map<CandidateKey, List<EndpointEntry>> mIndex = new HashMap<>();
+    private final Map<String, String> mPoolOfService = new HashMap<>();
+
+    /** Returns an endpoint, null when it isn't listed. */
+    public EndpointEntry find(EndpointName name) {
+        return mEntries.get(name);
+    }
+
+    /** Returns the endpoints that can serve a target now; don't change the list. */
+    public List<EndpointEntry> candidates(RouteTarget target) {
+        if (target instanceof RouteTarget.ModelTarget model) {
+            List<EndpointEntry> preferred = under(new ModelKey(model.name(), model.version()));
+            return preferred.isEmpty() ? under(new AnyVersionKey(model.name())) : preferred;
+        }
+        String pool = mPoolOfService.get(target.name());
+        return pool == null ? List.of() : under(new PoolKey(pool));
+    }
+
+    /** Returns the endpoints on which the adapter of the model is resident. */
+    public List<EndpointEntry> holdersOfAdapter(String model, String adapter) {
+        return under(new AdapterKey(model, adapter));
+    }
+
+    /** Returns whether the target is being loaded somewhere. */
+    public boolean isLoading(RouteTarget target) {
+        return !under(new LoadingKey(target.name())).isEmpty();
+    }
+
+    /** Returns the version of a model to ask an endpoint for; empty for plain services. */
+    public String versionOn(EndpointEntry entry, RouteTarget target) {
+        if (!(target instanceof RouteTarget.ModelTarget model)) {
+            return "";
+        }
+        if (entry.keys().contains(new ModelKey(model.name(), model.version()))) {
+            return model.version();
+        }
+        return entry.report().residents().stream()
+                .filter(resident -> isModel(resident, model.name()))
+                .map(Resident::version)
+                .max(String::compareTo)
+                .orElse(model.version());
+    }
+
+    /** Returns the number of endpoints listed. */
+    public int size() {
+        return mEntries.size();
+    }
+
+    /** Replaces the listed endpoints and services. Returns the endpoints no longer listed. */
+    public Set<EndpointName> configure(Configuration configuration) {
+        Set<EndpointName> removed = new HashSet<>(mEntries.keySet());
+        for (Endpoint endpoint : configuration.all(Endpoint.class)) {
+            EndpointName name = EndpointName.of(endpoint.name());
+            removed.remove(name);
+            EndpointEntry entry =
+                    mEntries.computeIfAbsent(name, unused -> new EndpointEntry(endpoint));
+            entry.list(endpoint);
+            reindex(entry);
+        }
+        for (EndpointName name : removed) {
+            unindex(mEntries.remove(name));
+        }
+        mPoolOfService.clear();
+        for (Service service : configuration.all(Service.class)) {
+            mPoolOfService.put(service.name(), service.pool());
+        }
+        return removed;
+    }
+
+    /** Takes in a load report; returns whether it was newer than the one known. */
+    public boolean report(EndpointEntry entry, LoadReport report) {
+        if (!entry.accept(report)) {
+            return false;
+        }
+        reindex(entry);
+        return true;
+    }
+
+    /** Takes in a state; returns whether the endpoint was not up before and is up now. */
+    public boolean change(EndpointEntry entry, EndpointState state) {
+        boolean returned = state == EndpointState.UP && entry.state() != EndpointState.UP;
+        entry.setState(state);
+        reindex(entry);
+        return returned;
+    }
+
+    private List<EndpointEntry> under(CandidateKey key) {
+        return mIndex.getOrDefault(key, List.of());
+    }
+
+    private void reindex(EndpointEntry entry) {
+        Set<CandidateKey> keys = keysOf(entry);
+        if (keys.equals(entry.keys())) {
+            return;
+        }
+        unindex(entry);
+        entry.setKeys(keys);
+        for (CandidateKey key : keys) {
+            mIndex.computeIfAbsent(key, unused -> new ArrayList<>()).add(entry);
+        }
+    }
+
+    private void unindex(EndpointEntry entry) {
+        for (CandidateKey key : entry.keys()) {
+            List<EndpointEntry> entries = mIndex.get(key);
+            entries.remove(entry);
+            if (entries.isEmpty()) {
+                mIndex.remove(key);
+            }
+        }
+        entry.setKeys(Set.of());
+    }
+
+    private static Set<CandidateKey> keysOf(EndpointEntry entry) {
+        if (!entry.mayTakeWork()) {
+            return Set.of();
+        }
+        if (entry.listing().kind() == EndpointKind.SERVICE) {
+            return Set.of(new PoolKey(entry.listing().pool()));
+        }
+        LoadReport report = entry.report();
+        if (report == null || report.role() == EngineRole.DECODE) {
+            return Set.of();
+        }
+        Set<CandidateKey> keys = new HashSet<>();
+        for (Resident resident : report.residents()) {
+            addKeys(keys, resident);
+        }
+        return keys;
+    }
+
+    private static void addKeys(Set<CandidateKey> keys, Resident resident) {
+        if (resident.adapter().isPresent()) {
+            if (resident.state() == ResidentState.RESIDENT) {
+                keys.add(new AdapterKey(resident.model(), resident.adapter().get()));
+            }
+            return;
+        }
+        if (resident.state() == ResidentState.LOADING) {
+            keys.add(new LoadingKey(resident.model()));
+        }
+        if (resident.state() == ResidentState.RESIDENT) {
+            keys.add(new ModelKey(resident.model(), resident.version()));
+            keys.add(new AnyVersionKey(resident.model()));
+        }
+    }
+
+    private static boolean isModel(Resident resident, String model) {
+        return resident.adapter().isEmpty()
+                && resident.model().equals(model)
+                && resident.state() == ResidentState.RESIDENT;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/EndpointEntry.java
@@ -0,0 +1,126 @@
+package org.foxtailridge.routing.internal;
+
+import java.util.Set;
+import org.foxtailridge.configuration.model.Endpoint;
+import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.routing.EndpointState;
+import org.foxtailridge.routing.LoadReport;
+
+/** What is known about one listed endpoint. */
+public final class EndpointEntry {
+    private final EndpointName mName;
+    private final InFlightHistory mHistory = new InFlightHistory();
+    private Endpoint mListing;
+    private EndpointState mState = EndpointState.UP;
+    private LoadReport mReport;
+    private Set<CandidateKey> mKeys = Set.of();
+    private int mInFlight;
+    private int mOthers;
+    private long mPendingPromptTokens;
+    private boolean mHoldsTrial;
+
+    EndpointEntry(Endpoint listing) {
+        mName = EndpointName.of(listing.name());
+        mListing = listing;
+    }
+
+    /** Returns the name. */
+    public EndpointName name() {
+        return mName;
+    }
+
+    /** Returns the entry of the operators' list. */
+    public Endpoint listing() {
+        return mListing;
+    }
+
+    /** Returns attempts in flight that this node started. */
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    /** Returns the estimate of attempts of all nodes in flight. */
+    public int totalInFlight() {
+        return mInFlight + mOthers;
+    }
+
+    /** Returns prompt tokens of this node's attempts that have not shown a first token. */
+    public long pendingPromptTokens() {
+        return mPendingPromptTokens;
+    }
+
+    /** Returns the estimate of other nodes' attempts in flight. */
+    public int others() {
+        return mOthers;
+    }
+
+    /** Returns whether an isolated request runs here. */
+    public boolean holdsTrial() {
+        return mHoldsTrial;
+    }
+
+    /** Returns the latest load report, null before the first. */
+    public LoadReport report() {
+        return mReport;
+    }
+
+    boolean mayTakeWork() {
+        boolean reportedLeaving = mReport != null && mReport.leaving();
+        return mState == EndpointState.UP && !mListing.leaving() && !reportedLeaving;
+    }
+
+    EndpointState state() {
+        return mState;
+    }
+
+    Set<CandidateKey> keys() {
+        return mKeys;
+    }
+
+    void setKeys(Set<CandidateKey> keys) {
+        mKeys = keys;
+    }
+
+    void list(Endpoint listing) {
+        mListing = listing;
+    }
+
+    void setState(EndpointState state) {
+        mState = state;
+    }
+
+    /** Returns whether the report is newer than the one known. */
+    boolean accept(LoadReport report) {
+        boolean older =
+                mReport != null
+                        && (report.incarnation() < mReport.incarnation()
+                                || (report.incarnation() == mReport.incarnation()
+                                        && report.asOfMilliseconds() < mReport.asOfMilliseconds()));
+        if (older) {
+            return false;
+        }
+        mReport = report;
+        int ownThen = mHistory.at(report.asOfMilliseconds(), mInFlight);
+        mOthers = Math.max(0, report.running() + report.waiting() - ownThen);
+        return true;
+    }
+
+    void started(long nowMilliseconds, int promptTokens, boolean isolated) {
+        mInFlight++;
+        mPendingPromptTokens += promptTokens;
+        mHoldsTrial |= isolated;
+        mHistory.add(nowMilliseconds, mInFlight);
+    }
+
+    void promptComputed(int promptTokens) {
+        mPendingPromptTokens -= promptTokens;
+    }
+
+    void ended(long nowMilliseconds, boolean isolated) {
+        mInFlight--;
+        if (isolated) {
+            mHoldsTrial = false;
+        }
+        mHistory.add(nowMilliseconds, mInFlight);
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/InFlightAttempts.java
@@ -0,0 +1,83 @@
+package org.foxtailridge.routing.internal;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.foxtailridge.routing.Attempt;
+
+/** Attempts in flight, each counted once on its endpoint. */
+public final class InFlightAttempts {
+    private final Map<String, InFlight> mAttempts = new HashMap<>();
+
+    /** Counts an attempt; does nothing when it is counted already. */
+    public void start(Attempt attempt, EndpointEntry entry, long now, int promptTokens) {
+        InFlight inFlight = new InFlight(attempt, entry, now, promptTokens);
+        if (mAttempts.putIfAbsent(attempt.attemptId(), inFlight) == null) {
+            entry.started(now, promptTokens, attempt.request().isolated());
+        }
+    }
+
+    /** Notes the first token; returns null when it is known or the attempt isn't. */
+    public InFlight firstToken(String attemptId) {
+        InFlight inFlight = mAttempts.get(attemptId);
+        if (inFlight == null || inFlight.mFirstToken) {
+            return null;
+        }
+        inFlight.mFirstToken = true;
+        inFlight.mEntry.promptComputed(inFlight.mPromptTokens);
+        return inFlight;
+    }
+
+    /** Ends the count of an attempt; returns null when it isn't counted. */
+    public InFlight end(String attemptId, long now) {
+        InFlight inFlight = mAttempts.remove(attemptId);
+        if (inFlight == null) {
+            return null;
+        }
+        if (!inFlight.mFirstToken) {
+            inFlight.mEntry.promptComputed(inFlight.mPromptTokens);
+        }
+        inFlight.mEntry.ended(now, inFlight.mAttempt.request().isolated());
+        return inFlight;
+    }
+
+    /** Returns the number of attempts in flight. */
+    public int size() {
+        return mAttempts.size();
+    }
+
+    /** One attempt in flight. */
+    public static final class InFlight {
+        private final Attempt mAttempt;
+        private final EndpointEntry mEntry;
+        private final long mStartedMilliseconds;
+        private final int mPromptTokens;
+        private boolean mFirstToken;
+
+        private InFlight(Attempt attempt, EndpointEntry entry, long now, int promptTokens) {
+            mAttempt = attempt;
+            mEntry = entry;
+            mStartedMilliseconds = now;
+            mPromptTokens = promptTokens;
+        }
+
+        /** Returns the attempt. */
+        public Attempt attempt() {
+            return mAttempt;
+        }
+
+        /** Returns the endpoint that it runs on. */
+        public EndpointEntry entry() {
+            return mEntry;
+        }
+
+        /** Returns when it started, in milliseconds since the epoch. */
+        public long startedMilliseconds() {
+            return mStartedMilliseconds;
+        }
+
+        /** Returns the prompt tokens that the endpoint is thought to compute. */
+        public int promptTokens() {
+            return mPromptTokens;
+        }
+    }
+}
