--- /dev/null
+++ b/limits/src/main/java/org/foxtailridge/limits/baseline/SharedBuckets.java
@@ -0,0 +1,34 @@
+package org.foxtailridge.limits.baseline;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.foxtailridge.core.name.ClientAccountName;
+import org.foxtailridge.limits.TokenLimit;
+import org.foxtailridge.limits.bucket.TokenBucket;
+
+/** One exact bucket for each client account, full at the start, in the memory of one process. */
+public final class SharedBuckets {
+    private static final long MILLI = 1_000;
+
+    private final Map<ClientAccountName, TokenBucket> mBuckets = new HashMap<>();
+
+    TokenBucket bucketOf(ClientAccountName account) {
+        return mBuckets.get(account);
+    }
+
+    void change(ClientAccountName account, TokenLimit limit, long nowMilliseconds) {
+        long rate = limit.rateTokensPerSecond() * MILLI;
+        TokenBucket bucket = mBuckets.get(account);
+        if (bucket == null) {
+            bucket = new TokenBucket(rate, limit.burstTokens(), nowMilliseconds);
+            bucket.fill();
+            mBuckets.put(account, bucket);
+        }
+        bucket.advance(nowMilliseconds);
+        bucket.change(rate, limit.burstTokens());
+    }
+
+    void remove(ClientAccountName account) {
+        mBuckets.remove(account);
+    }
+}
