Add the caller front of a node

Cause: callers need completions, models and plain services over HTTP. Measured: compiles, formats clean; not run end to end yet.

--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
@@ -0,0 +1,73 @@
+package org.foxtailridge.node.caller;
+
+import java.time.Clock;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.foxtailridge.configuration.model.Configuration;
+import org.foxtailridge.core.error.FoxtailridgeException;
+
+/** Serves {@code POST /v1/completions} and {@code POST /v1/chat/completions}. */
+@Singleton
+final class CompletionHandler {
+    private static final String AUTHORIZATION = "Authorization";
+
+    private final CompletionServices mServices;
+    private final Clock mClock;
+
+    @Inject
+    CompletionHandler(CompletionServices services, Clock clock) {
+        mServices = services;
+        mClock = clock;
+    }
+
+    void handle(CallerExchange exchange, CompletionShape shape) {
+        Configuration configuration = mServices.configuration().current();
+        Caller caller = Authentication.authenticate(configuration, exchange.header(AUTHORIZATION));
+        exchange.body()
+                .whenComplete(
+                        (body, failure) -> {
+                            if (failure != null) {
+                                exchange.fail(FoxtailridgeException.from(failure));
+                            } else {
+                                start(exchange, caller, shape, body);
+                            }
+                        });
+    }
+
+    private void start(CallerExchange exchange, Caller caller, CompletionShape shape, byte[] body) {
+        try {
+            CompletionRequest request = CompletionRequestParser.parse(shape, body);
+            Configuration configuration = mServices.configuration().current();
+            ModelChoice choice = ModelChoice.find(configuration, caller, request.model());
+            requireContext(choice, request);
+            run(exchange, caller, request, choice).start();
+        } catch (FoxtailridgeException refusal) {
+            exchange.fail(refusal);
+        }
+    }
+
+    private static void requireContext(ModelChoice choice, CompletionRequest request) {
+        long tokens = (long) request.promptTokens() + request.maximumTokens();
+        int context = choice.model().contextTokens();
+        if (context > 0 && tokens > context) {
+            throw MalformedRequestException.badField(
+                    "max_tokens",
+                    "at most " + context + " tokens together with the prompt but was " + tokens);
+        }
+    }
+
+    private CompletionRun run(
+            CallerExchange exchange, Caller caller, CompletionRequest request, ModelChoice choice) {
+        AnswerHead head =
+                new AnswerHead(
+                        request.shape(),
+                        request.shape().answerId(exchange.requestId()),
+                        mClock.instant().getEpochSecond(),
+                        request.model());
+        AnswerSink sink =
+                request.stream()
+                        ? new StreamedAnswerSink(exchange, head)
+                        : new WholeAnswerSink(exchange, head);
+        return new CompletionRun(mServices, exchange, caller, request, choice, sink);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
@@ -0,0 +1,70 @@
+package org.foxtailridge.node.caller;
+
+import java.util.Optional;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.foxtailridge.configuration.model.Configuration;
+import org.foxtailridge.configuration.model.Service;
+import org.foxtailridge.configuration.model.ServiceRoute;
+import org.foxtailridge.core.error.FoxtailridgeException;
+import org.foxtailridge.platform.service.ServiceClient;
+
+/** Serves {@code ANY /services/{service}/…}. */
+@Singleton
+final class ServiceHandler {
+    private final CompletionServices mServices;
+    private final ServiceClient mClient;
+
+    @Inject
+    ServiceHandler(CompletionServices services, ServiceClient client) {
+        mServices = services;
+        mClient = client;
+    }
+
+    void handle(CallerExchange exchange, String target) {
+        Configuration configuration = mServices.configuration().current();
+        int separator = target.indexOf('/');
+        String name = separator < 0 ? target : target.substring(0, separator);
+        String path = separator < 0 ? "/" : target.substring(separator);
+        Service service =
+                configuration
+                        .find(Service.class, name)
+                        .orElseThrow(() -> RefusedException.unknownService(target));
+        ServiceRoute route =
+                service.route(exchange.method(), path)
+                        .orElseThrow(() -> RefusedException.unknownService(target));
+        Optional<Caller> caller = callerOf(exchange, configuration, service, route);
+        exchange.body()
+                .whenComplete(
+                        (body, failure) -> {
+                            if (failure != null) {
+                                exchange.fail(FoxtailridgeException.from(failure));
+                            } else {
+                                new ServiceRun(
+                                                mServices,
+                                                mClient,
+                                                exchange,
+                                                caller,
+                                                service,
+                                                route,
+                                                path + exchange.query(),
+                                                body)
+                                        .start();
+                            }
+                        });
+    }
+
+    private static Optional<Caller> callerOf(
+            CallerExchange exchange,
+            Configuration configuration,
+            Service service,
+            ServiceRoute route) {
+        if (route.open()) {
+            return Optional.empty();
+        }
+        Caller caller =
+                Authentication.authenticate(configuration, exchange.header("Authorization"));
+        caller.requireService(service.name());
+        return Optional.of(caller);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/duty/LimitsDuty.java
@@ -0,0 +1,112 @@
+package org.foxtailridge.node.duty;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.foxtailridge.configuration.model.ClientAccount;
+import org.foxtailridge.configuration.model.Configuration;
+import org.foxtailridge.configuration.model.Plan;
+import org.foxtailridge.core.error.ErrorKind;
+import org.foxtailridge.core.name.ClientAccountName;
+import org.foxtailridge.core.thread.DutyThread;
+import org.foxtailridge.limits.Admission;
+import org.foxtailridge.limits.Reservation;
+import org.foxtailridge.limits.TokenLimit;
+import org.foxtailridge.limits.TokenLimiter;
+import org.foxtailridge.node.caller.RefusedException;
+import org.foxtailridge.node.settings.NodeSettings;
+
+/** Runs the token limiter on a thread of its own. */
+@Singleton
+public final class LimitsDuty implements AutoCloseable {
+    private final DutyThread mThread;
+    private final TokenLimiter mLimiter;
+
+    /** Creates the duty and starts its thread. */
+    @Inject
+    public LimitsDuty(
+            NodeSettings settings,
+            TokenLimiter limiter,
+            ConfigurationView configuration,
+            DutyTimer timer) {
+        mLimiter = limiter;
+        mThread = DutyThread.start("limits", settings.ringTasks());
+        configuration.listen(this::onConfiguration);
+        timer.every(Duration.ofMillis(TokenLimiter.TICK_MILLISECONDS), mThread, mLimiter::tick);
+    }
+
+    /** Sets tokens aside; fails with {@link RefusedException}. */
+    public CompletableFuture<Reservation> reserve(ClientAccountName account, long tokens) {
+        CompletableFuture<Reservation> reservation = new CompletableFuture<>();
+        boolean offered =
+                mThread.offer(
+                        () ->
+                                mLimiter.reserve(
+                                        account, tokens, answer -> decide(answer, reservation)));
+        if (!offered) {
+            reservation.completeExceptionally(RefusedException.overloaded("the ring of limits"));
+        }
+        return reservation;
+    }
+
+    /** Settles a reservation to what was used. */
+    public void settle(Reservation reservation, long usedTokens) {
+        mThread.offer(() -> mLimiter.settle(reservation, usedTokens));
+    }
+
+    @Override
+    public void close() {
+        mThread.close();
+    }
+
+    private static void decide(Admission admission, CompletableFuture<Reservation> reservation) {
+        if (admission instanceof Admission.Granted granted) {
+            reservation.complete(granted.reservation());
+        } else {
+            reservation.completeExceptionally(refusal(admission));
+        }
+    }
+
+    private static RefusedException refusal(Admission admission) {
+        if (admission instanceof Admission.Refused refused) {
+            int seconds = (int) Math.max(1, refused.retryAfter().plusMillis(999).toSeconds());
+            return RefusedException.withRetryAfter(
+                    ErrorKind.RATE_EXCEEDED, "the client account has no tokens left", seconds);
+        }
+        if (admission instanceof Admission.LargerThanBurst larger) {
+            return RefusedException.of(
+                    ErrorKind.LARGER_THAN_BURST,
+                    "expected prompt and max_tokens together to take at most "
+                            + larger.largestTokens()
+                            + " tokens");
+        }
+        if (admission instanceof Admission.Overloaded) {
+            return RefusedException.overloaded("the limiter");
+        }
+        return RefusedException.of(
+                ErrorKind.NOT_READY, "this VM does not know the client account's plan yet");
+    }
+
+    private void onConfiguration(Configuration former, Configuration current) {
+        mThread.offer(() -> applyLimits(former, current));
+    }
+
+    private void applyLimits(Configuration former, Configuration current) {
+        for (ClientAccount account : current.all(ClientAccount.class)) {
+            current.find(Plan.class, account.plan())
+                    .ifPresent(plan -> changeLimit(account.name(), plan));
+        }
+        for (ClientAccount account : former.all(ClientAccount.class)) {
+            if (current.find(ClientAccount.class, account.name()).isEmpty()) {
+                mLimiter.limitRemoved(ClientAccountName.of(account.name()));
+            }
+        }
+    }
+
+    private void changeLimit(String account, Plan plan) {
+        mLimiter.limitChanged(
+                ClientAccountName.of(account),
+                TokenLimit.of(plan.rateTokensPerSecond(), plan.burstTokens()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/duty/ReportsDuty.java
@@ -0,0 +1,89 @@
+package org.foxtailridge.node.duty;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.foxtailridge.configuration.model.Endpoint;
+import org.foxtailridge.configuration.model.EndpointKind;
+import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.core.thread.DutyThread;
+import org.foxtailridge.node.settings.NodeSettings;
+import org.foxtailridge.platform.engine.EngineClient;
+import org.foxtailridge.platform.engine.LoadReport;
+import org.foxtailridge.routing.EndpointState;
+
+/** Reads the load reports of all listed engines at fixed intervals. */
+@Singleton
+public final class ReportsDuty implements AutoCloseable {
+    private static final int RING_TASKS = 4096;
+
+    private final DutyThread mThread;
+    private final EngineClient mEngines;
+    private final ConfigurationView mConfiguration;
+    private final RoutingDuty mRouting;
+    private final List<BiConsumer<EndpointName, LoadReport>> mListeners =
+            new CopyOnWriteArrayList<>();
+    private final Set<String> mAsked = ConcurrentHashMap.newKeySet();
+
+    /** Creates the duty and starts its thread. */
+    @Inject
+    public ReportsDuty(
+            NodeSettings settings,
+            EngineClient engines,
+            ConfigurationView configuration,
+            RoutingDuty routing,
+            DutyTimer timer) {
+        mEngines = engines;
+        mConfiguration = configuration;
+        mRouting = routing;
+        mThread = DutyThread.start("reports", RING_TASKS);
+        timer.every(settings.reportInterval(), mThread, this::askAll);
+    }
+
+    /** Adds a listener of all reports; it is called on this duty's thread. */
+    public void listen(BiConsumer<EndpointName, LoadReport> listener) {
+        mListeners.add(listener);
+    }
+
+    @Override
+    public void close() {
+        mThread.close();
+    }
+
+    private void askAll() {
+        for (Endpoint endpoint : mConfiguration.current().all(Endpoint.class)) {
+            if (endpoint.kind() == EndpointKind.ENGINE && mAsked.add(endpoint.name())) {
+                ask(endpoint);
+            }
+        }
+    }
+
+    /** Asks one engine; at most one question to each is open at a time. */
+    private void ask(Endpoint endpoint) {
+        mEngines.status(endpoint.address())
+                .whenComplete(
+                        (report, failure) -> {
+                            if (!mThread.offer(() -> onAnswer(endpoint, report, failure))) {
+                                mAsked.remove(endpoint.name());
+                            }
+                        });
+    }
+
+    private void onAnswer(Endpoint endpoint, LoadReport report, Throwable failure) {
+        mAsked.remove(endpoint.name());
+        EndpointName name = EndpointName.of(endpoint.name());
+        if (failure != null) {
+            mRouting.endpointChanged(name, EndpointState.DOWN);
+            return;
+        }
+        boolean leaving = endpoint.leaving() || report.leaving();
+        mRouting.endpointChanged(name, leaving ? EndpointState.LEAVING : EndpointState.UP);
+        mRouting.loadReported(name, RoutingReports.from(report));
+        new ArrayList<>(mListeners).forEach(listener -> listener.accept(name, report));
+    }
+}
