--- a/configuration/src/main/java/org/foxtailridge/configuration/model/Adapter.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/model/Adapter.java
@@ -1,5 +1,7 @@
 package org.foxtailridge.configuration.model;
 
+import java.util.Objects;
+
 /**
  * An adapter of a model. Callers name it as {@code model:adapter}.
  *
@@ -9,4 +11,11 @@
  * @param bytes accelerator memory that it takes
  */
 public record Adapter(String name, String model, String version, long bytes)
-        implements ConfigurationEntry {}
+        implements ConfigurationEntry {
+    /** Checks that no part is missing. */
+    public Adapter {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(model, "model");
+        Objects.requireNonNull(version, "version");
+    }
+}
--- a/configuration/src/main/java/org/foxtailridge/configuration/model/CallerKey.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/model/CallerKey.java
@@ -1,5 +1,7 @@
 package org.foxtailridge.configuration.model;
 
+import java.util.Objects;
+
 /**
  * The salted hash of a caller's key.
  *
@@ -10,6 +12,14 @@
  */
 public record CallerKey(String name, String clientAccount, String salt, String hash)
         implements ConfigurationEntry {
+    /** Checks that no part is missing. */
+    public CallerKey {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(clientAccount, "clientAccount");
+        Objects.requireNonNull(salt, "salt");
+        Objects.requireNonNull(hash, "hash");
+    }
+
     @Override
     public String toString() {
         return "CallerKey[name=" + name + ", clientAccount=" + clientAccount + "]";
--- a/configuration/src/main/java/org/foxtailridge/configuration/model/EntryKind.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/model/EntryKind.java
@@ -1,6 +1,9 @@
 package org.foxtailridge.configuration.model;
 
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Arrays;
 import java.util.Locale;
+import java.util.Optional;
 
 /** Kinds of entries in the operators' lists. */
 public enum EntryKind {
@@ -35,10 +38,16 @@
     }
 
     /** Returns the word used in records and in TOML tables, for example {@code client_account}. */
+    @JsonValue
     public String word() {
         return name().toLowerCase(Locale.ROOT);
     }
 
+    /** Returns the kind with the given word; empty when there is none. */
+    public static Optional<EntryKind> ofWord(String word) {
+        return Arrays.stream(values()).filter(kind -> kind.word().equals(word)).findFirst();
+    }
+
     /** Returns the kind of an entry. */
     public static EntryKind of(ConfigurationEntry entry) {
         for (EntryKind kind : values()) {
--- a/configuration/src/main/java/org/foxtailridge/configuration/model/Objective.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/model/Objective.java
@@ -1,5 +1,7 @@
 package org.foxtailridge.configuration.model;
 
+import java.util.Objects;
+
 /**
  * A service-level objective: the share of events that must be good over the window.
  *
@@ -19,4 +21,12 @@
         long thresholdMilliseconds,
         double target,
         long windowSeconds)
-        implements ConfigurationEntry {}
+        implements ConfigurationEntry {
+    /** Checks that no part is missing. */
+    public Objective {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(route, "route");
+        Objects.requireNonNull(clientAccount, "clientAccount");
+        Objects.requireNonNull(measure, "measure");
+    }
+}
--- a/configuration/src/main/java/org/foxtailridge/configuration/model/Plan.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/model/Plan.java
@@ -1,6 +1,7 @@
 package org.foxtailridge.configuration.model;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * What a client account may use, and how much of it.
@@ -25,10 +26,90 @@
         int maximumStalenessSeconds,
         int maximumConnections)
         implements ConfigurationEntry {
-    /** Copies the lists. */
+    /** Checks that no part is missing and copies the lists. */
     public Plan {
+        Objects.requireNonNull(name, "name");
         models = models == null ? List.of() : List.copyOf(models);
         adapters = adapters == null ? List.of() : List.copyOf(adapters);
         services = services == null ? List.of() : List.copyOf(services);
     }
+
+    /**
+     * Returns a builder; it starts with a rate of 1,000 tokens a second, a burst of 10,000 and
+     * nothing allowed.
+     */
+    public static Builder builder(String name) {
+        return new Builder(name);
+    }
+
+    /** Builds a {@link Plan}. */
+    public static final class Builder {
+        private final String mName;
+        private long mRateTokensPerSecond = 1_000;
+        private long mBurstTokens = 10_000;
+        private List<String> mModels = List.of();
+        private List<String> mAdapters = List.of();
+        private List<String> mServices = List.of();
+        private int mMaximumStalenessSeconds = 3_600;
+        private int mMaximumConnections = 256;
+
+        private Builder(String name) {
+            mName = name;
+        }
+
+        /** Sets the rate, in tokens a second. */
+        public Builder rateTokensPerSecond(long rateTokensPerSecond) {
+            mRateTokensPerSecond = rateTokensPerSecond;
+            return this;
+        }
+
+        /** Sets the burst, in tokens. */
+        public Builder burstTokens(long burstTokens) {
+            mBurstTokens = burstTokens;
+            return this;
+        }
+
+        /** Sets the models that may be used. */
+        public Builder models(String... models) {
+            mModels = List.of(models);
+            return this;
+        }
+
+        /** Sets the adapters that may be used. */
+        public Builder adapters(String... adapters) {
+            mAdapters = List.of(adapters);
+            return this;
+        }
+
+        /** Sets the plain services that may be called. */
+        public Builder services(String... services) {
+            mServices = List.of(services);
+            return this;
+        }
+
+        /** Sets the largest age of the configuration, in seconds. */
+        public Builder maximumStalenessSeconds(int maximumStalenessSeconds) {
+            mMaximumStalenessSeconds = maximumStalenessSeconds;
+            return this;
+        }
+
+        /** Sets the connections of one client account that one VM accepts. */
+        public Builder maximumConnections(int maximumConnections) {
+            mMaximumConnections = maximumConnections;
+            return this;
+        }
+
+        /** Returns the plan. */
+        public Plan build() {
+            return new Plan(
+                    mName,
+                    mRateTokensPerSecond,
+                    mBurstTokens,
+                    mModels,
+                    mAdapters,
+                    mServices,
+                    mMaximumStalenessSeconds,
+                    mMaximumConnections);
+        }
+    }
 }
--- a/configuration/src/main/java/org/foxtailridge/configuration/model/Service.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/model/Service.java
@@ -1,6 +1,7 @@
 package org.foxtailridge.configuration.model;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -12,8 +13,10 @@
  */
 public record Service(String name, String pool, List<ServiceRoute> routes)
         implements ConfigurationEntry {
-    /** Copies the list. */
+    /** Checks that no part is missing and copies the lists. */
     public Service {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(pool, "pool");
         routes = routes == null ? List.of() : List.copyOf(routes);
     }
 
--- a/configuration/src/main/java/org/foxtailridge/configuration/model/ServiceRoute.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/model/ServiceRoute.java
@@ -1,5 +1,7 @@
 package org.foxtailridge.configuration.model;
 
+import java.util.Objects;
+
 /**
  * One route of a plain service.
  *
@@ -17,6 +19,12 @@
         boolean open,
         long tokens,
         long timeoutMilliseconds) {
+    /** Checks that no part is missing. */
+    public ServiceRoute {
+        Objects.requireNonNull(method, "method");
+        Objects.requireNonNull(path, "path");
+    }
+
     /** Returns whether this route serves the method and path. */
     public boolean matches(String requestMethod, String requestPath) {
         return matchesMethod(requestMethod) && matchesPath(requestPath);
--- a/configuration/src/main/java/org/foxtailridge/configuration/model/WeightStore.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/model/WeightStore.java
@@ -1,5 +1,7 @@
 package org.foxtailridge.configuration.model;
 
+import java.util.Objects;
+
 /**
  * Limits of the weight store, shared by all nodes.
  *
@@ -10,4 +12,12 @@
  */
 public record WeightStore(
         String name, double loadsPerSecond, int loadsAtFullSpeed, int adaptersInTransit)
-        implements ConfigurationEntry {}
+        implements ConfigurationEntry {
+    /** Name of the only entry of this kind. */
+    public static final String ONLY_NAME = "default";
+
+    /** Checks that no part is missing. */
+    public WeightStore {
+        Objects.requireNonNull(name, "name");
+    }
+}
