--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform as this node reaches it. */
+package org.foxtailridge.node.platform;
