--- /dev/null
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/package-info.java
@@ -0,0 +1,2 @@
+/** Proofs against real processes. */
+package org.foxtailridge.endtoend;
--- a/node/src/main/java/org/foxtailridge/node/caller/CallerExchange.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CallerExchange.java
@@ -22,19 +22,25 @@
     private final Response mResponse;
     private final Callback mCallback;
     private final int mMaximumBodyBytes;
+    private final RequestLog mLog;
     private final AtomicBoolean mCompleted = new AtomicBoolean();
+    private volatile String mSort = "other";
+    private volatile String mClientAccount = "";
+    private volatile String mEndpoint = "";
 
     CallerExchange(
             String requestId,
             Request request,
             Response response,
             Callback callback,
-            int maximumBodyBytes) {
+            int maximumBodyBytes,
+            RequestLog log) {
         mRequestId = Objects.requireNonNull(requestId, "requestId");
         mRequest = request;
         mResponse = response;
         mCallback = callback;
         mMaximumBodyBytes = maximumBodyBytes;
+        mLog = log;
         mResponse.getHeaders().put(REQUEST_ID, requestId);
     }
 
@@ -65,6 +71,17 @@
         return new BodyReader(mRequest, mMaximumBodyBytes).read();
     }
 
+    /** Says what the request is, for log and metrics. */
+    void describe(String sort, String clientAccount) {
+        mSort = sort;
+        mClientAccount = clientAccount;
+    }
+
+    /** Says which endpoint the request was sent to, for log and metrics. */
+    void sentTo(String endpoint) {
+        mEndpoint = endpoint;
+    }
+
     /** Answers with a JSON body. */
     void answer(int status, byte[] body) {
         answer(status, JSON_TYPE, body);
@@ -72,9 +89,13 @@
 
     /** Answers with a body of the given type; a null type leaves the header out. */
     void answer(int status, String contentType, byte[] body) {
-        if (!mCompleted.compareAndSet(false, true)) {
-            return;
+        if (mCompleted.compareAndSet(false, true)) {
+            mLog.answered(mSort, mClientAccount);
+            write(status, contentType, body);
         }
+    }
+
+    private void write(int status, String contentType, byte[] body) {
         mResponse.setStatus(status);
         if (contentType != null) {
             mResponse.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
@@ -84,6 +105,10 @@
 
     /** Answers with an error of the table. */
     void fail(FoxtailridgeException failure) {
+        if (!mCompleted.compareAndSet(false, true)) {
+            return;
+        }
+        logFailure(failure);
         ErrorAnswer answer = failure.answer();
         answer.retryAfterSeconds()
                 .ifPresent(
@@ -91,7 +116,7 @@
                                 mResponse
                                         .getHeaders()
                                         .put(HttpHeader.RETRY_AFTER, Integer.toString(seconds)));
-        answer(answer.status(), ErrorBody.of(failure));
+        write(answer.status(), JSON_TYPE, ErrorBody.of(failure));
     }
 
     /** Begins a streamed answer. */
@@ -106,9 +131,18 @@
         mResponse.write(false, ByteBuffer.wrap(part), written);
     }
 
-    /** Ends a streamed answer with its last part. */
+    /** Ends a streamed answer that is whole with its last part. */
     void endStream(byte[] lastPart) {
         if (mCompleted.compareAndSet(false, true)) {
+            mLog.answered(mSort, mClientAccount);
+            mResponse.write(true, ByteBuffer.wrap(lastPart), mCallback);
+        }
+    }
+
+    /** Ends a streamed answer that is not whole with an event that says so. */
+    void failStream(FoxtailridgeException failure, byte[] lastPart) {
+        if (mCompleted.compareAndSet(false, true)) {
+            logFailure(failure);
             mResponse.write(true, ByteBuffer.wrap(lastPart), mCallback);
         }
     }
@@ -119,4 +153,8 @@
             mCallback.failed(cause);
         }
     }
+
+    private void logFailure(FoxtailridgeException failure) {
+        mLog.failed(mSort, mRequestId, mClientAccount, mEndpoint, failure);
+    }
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CallerHandler.java
@@ -28,6 +28,7 @@
     private final CompletionHandler mCompletions;
     private final ModelsHandler mModels;
     private final ServiceHandler mServices;
+    private final RequestLog mLog;
 
     @Inject
     CallerHandler(
@@ -37,7 +38,8 @@
             AttemptIdentifiers identifiers,
             CompletionHandler completions,
             ModelsHandler models,
-            ServiceHandler services) {
+            ServiceHandler services,
+            RequestLog log) {
         mSettings = settings;
         mConfiguration = configuration;
         mState = state;
@@ -45,6 +47,7 @@
         mCompletions = completions;
         mModels = models;
         mServices = services;
+        mLog = log;
     }
 
     @Override
@@ -55,7 +58,8 @@
                         request,
                         response,
                         callback,
-                        mSettings.maximumBodyBytes());
+                        mSettings.maximumBodyBytes(),
+                        mLog);
         try {
             dispatch(exchange);
         } catch (FoxtailridgeException failure) {
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
@@ -23,6 +23,7 @@
     void handle(CallerExchange exchange, CompletionShape shape) {
         Configuration configuration = mServices.configuration().current();
         Caller caller = Authentication.authenticate(configuration, exchange.header(AUTHORIZATION));
+        exchange.describe("completion", caller.clientAccount());
         exchange.body()
                 .whenComplete(
                         (body, failure) -> {
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
@@ -181,6 +181,7 @@
             return;
         }
         mEndpoint = endpoint;
+        mExchange.sentTo(endpoint.name());
         mDispatched = true;
         mStream =
                 mServices
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
@@ -34,6 +34,7 @@
                 service.route(exchange.method(), path)
                         .orElseThrow(() -> RefusedException.unknownService(target));
         Optional<Caller> caller = callerOf(exchange, configuration, service, route);
+        exchange.describe("service", caller.map(Caller::clientAccount).orElse(""));
         exchange.body()
                 .whenComplete(
                         (body, failure) -> {
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceRun.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceRun.java
@@ -145,6 +145,7 @@
             return;
         }
         mEndpoint = endpoint.get();
+        mExchange.sentTo(mEndpoint.name());
         mClient.call(
                         mEndpoint.address(),
                         mAttempt,
--- a/node/src/main/java/org/foxtailridge/node/caller/StreamedAnswerSink.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/StreamedAnswerSink.java
@@ -45,7 +45,8 @@
     @Override
     public void fail(FoxtailridgeException failure) {
         if (mBegun) {
-            mExchange.endStream(join(ERROR_EVENT, DATA, ErrorBody.of(failure), EVENT_END));
+            mExchange.failStream(
+                    failure, join(ERROR_EVENT, DATA, ErrorBody.of(failure), EVENT_END));
         } else {
             mExchange.fail(failure);
         }
--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics of a node; docs/operators/metrics.md lists them. */
+package org.foxtailridge.node.metrics;
