--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
@@ -3,6 +3,8 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.util.Callback;
 import org.foxtailridge.configuration.model.Endpoint;
 import org.foxtailridge.core.error.FoxtailridgeException;
@@ -26,6 +28,7 @@
  * tokens on in order, tries another endpoint while the caller has seen nothing, and settles.
  */
 final class CompletionRun implements RunningRequest, CompletionListener {
+    private static final Logger LOGGER = LogManager.getLogger(CompletionRun.class);
     private static final int MAXIMUM_ATTEMPTS = 3;
 
     private final CompletionServices mServices;
@@ -126,6 +129,10 @@
 
     @Override
     public void onBroken(boolean mayHaveStarted, Throwable cause) {
+        if (mEnded.get()) {
+            return;
+        }
+        LOGGER.info("attempt {} broke off", mAttempt.attemptId(), cause);
         AttemptEnd attemptEnd = mayHaveStarted ? AttemptEnd.FAILED : AttemptEnd.NOT_STARTED;
         retryOrFail(attemptEnd, "a broken connection");
     }
