--- a/configuration/src/main/java/org/foxtailridge/configuration/fold/ConfigurationFold.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/fold/ConfigurationFold.java
@@ -63,15 +63,64 @@
      *     state stays as it was
      */
     public FoldResult apply(long offset, String payload) {
-        if (offset != mState.offset() + 1) {
-            throw new OffsetGapException(mState.offset() + 1, offset);
-        }
+        requireNext(offset);
         ConfigurationState before = mState;
         Step step = step(before, offset, payload);
         mState = step.mAfter;
         return new FoldResult(before, step.mAfter, step.mOutcome);
     }
 
+    /**
+     * Passes over a record that another reader has found to be a snapshot that does not replace.
+     *
+     * @param offset offset of the record; one above that of the state
+     * @throws OffsetGapException when the record is not the next one
+     */
+    public FoldResult passOver(long offset) {
+        requireNext(offset);
+        ConfigurationState before = mState;
+        mState = before.passedOver(offset);
+        return new FoldResult(before, mState, Optional.empty());
+    }
+
+    /**
+     * Returns the state from which a reader that lacks earlier records can start at a record; empty
+     * when the record is not a snapshot or does not reach back to the retained records.
+     *
+     * @param offset offset of the record
+     * @param payload payload of the record
+     * @param firstRetained offset of the first record that the log still holds
+     * @throws IncompatibleRecordException when its format is newer than this version reads
+     */
+    public static Optional<ConfigurationState> startAt(
+            long offset, String payload, long firstRetained) {
+        ConfigurationRecord record;
+        try {
+            record = RecordCodec.read(payload);
+        } catch (UnreadableRecordException unreadable) {
+            return Optional.empty();
+        }
+        if (!(record instanceof Snapshot snapshot)) {
+            return Optional.empty();
+        }
+        boolean reachesBack =
+                snapshot.replaces()
+                        || (snapshot.coveredOffset() + 1 >= firstRetained
+                                && snapshot.coveredOffset() < offset);
+        if (!reachesBack) {
+            return Optional.empty();
+        }
+        long start = snapshot.replaces() ? offset : snapshot.coveredOffset();
+        ConfigurationState state = ConfigurationState.of(snapshot, start);
+        return reasonsAgainst(state).isEmpty() ? Optional.of(state) : Optional.empty();
+    }
+
+    private void requireNext(long offset) {
+        if (offset != mState.offset() + 1) {
+            throw new OffsetGapException(mState.offset() + 1, offset);
+        }
+    }
+
     private static Step step(ConfigurationState before, long offset, String payload) {
         ConfigurationRecord record;
         try {
--- a/configuration/src/main/java/org/foxtailridge/configuration/fold/ConfigurationState.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/fold/ConfigurationState.java
@@ -98,6 +98,10 @@
         return new Snapshot(id, offset(), false, entries, mOutcomes);
     }
 
+    boolean isPassedOverBy(ConfigurationState after) {
+        return mVersions == after.mVersions && mOutcomes == after.mOutcomes;
+    }
+
     ConfigurationState passedOver(long offset) {
         Configuration configuration = mConfiguration.toBuilder().offset(offset).build();
         return new ConfigurationState(configuration, mVersions, mOutcomes);
--- a/configuration/src/main/java/org/foxtailridge/configuration/fold/FoldResult.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/fold/FoldResult.java
@@ -20,4 +20,9 @@
         Objects.requireNonNull(after, "after");
         Objects.requireNonNull(outcome, "outcome");
     }
+
+    /** Returns whether the record changed nothing but the offset and held no new edit. */
+    public boolean passedOver() {
+        return outcome.isEmpty() && before.isPassedOverBy(after);
+    }
 }
--- a/configuration/src/main/java/org/foxtailridge/configuration/key/KeyHashing.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/key/KeyHashing.java
@@ -28,15 +28,16 @@
         return Optional.of(key.substring(PREFIX.length(), end));
     }
 
-    /** Returns whether the presented key is the one that the entry was made from. */
+    /**
+     * Returns whether the presented key is the one that the entry was made from. The time taken
+     * does not depend on how much of the secret is right.
+     */
     public static boolean matches(String key, CallerKey entry) {
         int start = secretStart(key);
-        if (start <= 0) {
-            return false;
-        }
         byte[] expected = Base64.getDecoder().decode(entry.hash());
         byte[] salt = Base64.getDecoder().decode(entry.salt());
-        return MessageDigest.isEqual(expected, hash(salt, key.substring(start)));
+        boolean equal = MessageDigest.isEqual(expected, hash(salt, key.substring(start)));
+        return equal && identifierOf(key).equals(Optional.of(entry.name()));
     }
 
     /**
@@ -62,6 +63,10 @@
                 encoder.encodeToString(hash));
     }
 
+    static String keyOf(String identifier, String secret) {
+        return PREFIX + identifier + "_" + secret;
+    }
+
     private static int secretStart(String key) {
         if (!key.startsWith(PREFIX)) {
             return 0;
