--- /dev/null
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
@@ -0,0 +1,283 @@
+package org.foxtailridge.limits.grant;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailridge.core.name.ClientAccountName;
+import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.limits.Admission;
+import org.foxtailridge.limits.LimiterOutbox;
+import org.foxtailridge.limits.LimiterSettings;
+import org.foxtailridge.limits.Reservation;
+import org.foxtailridge.protocol.limits.GrantAnswer;
+import org.foxtailridge.protocol.limits.GrantRequest;
+import org.foxtailridge.protocol.limits.LimitsMessage;
+
+/**
+ * Admits the requests of one client account at one node, from granted tokens and, when the home
+ * node has none or can't be reached, from the node's own floor.
+ */
+final class AccountLimiter {
+    private static final long TARGET_MILLISECONDS = 800;
+    private static final long MILLISECONDS_PER_SECOND = 1_000;
+    private static final long REPORT_MILLISECONDS = 250;
+    private static final long LEAST_PAUSE_MILLISECONDS = 200;
+    private static final long MOST_PAUSE_MILLISECONDS = 1_000;
+
+    private final LimiterSettings mSettings;
+    private final ClientAccountName mAccount;
+    private final LimiterOutbox mOutbox;
+    private final OpenReservations mReservations;
+    private final TokenPool mPool;
+    private final Floor mFloor;
+    private final HomeLink mLink;
+    private final UnusedBatch mUnused = new UnusedBatch();
+    private final DemandMeter mDemand;
+    private final Deque<WaitingReservation> mWaiting = new ArrayDeque<>();
+    private LimitParts mParts;
+    private long mWaitingTokens;
+    private long mDebtTokens;
+    private boolean mListed = true;
+
+    AccountLimiter(
+            LimiterSettings settings,
+            GrantRules rules,
+            ClientAccountName account,
+            LimitParts parts,
+            long floorFromMilliseconds,
+            long nowMilliseconds,
+            OpenReservations reservations,
+            LimiterOutbox outbox) {
+        mSettings = settings;
+        mAccount = account;
+        mParts = parts;
+        mOutbox = outbox;
+        mReservations = reservations;
+        mPool = new TokenPool(rules);
+        mFloor = new Floor(parts, floorFromMilliseconds, nowMilliseconds);
+        mLink = new HomeLink(settings, account);
+        mDemand = new DemandMeter(nowMilliseconds);
+    }
+
+    void change(LimitParts parts, long nowMilliseconds) {
+        mListed = true;
+        mParts = parts;
+        mFloor.change(parts, nowMilliseconds);
+    }
+
+    void reserve(long tokens, Consumer<Admission> decision, long nowMilliseconds) {
+        if (!mListed) {
+            decision.accept(new Admission.UnknownAccount());
+            return;
+        }
+        if (tokens > mParts.homeCapacityTokens()) {
+            decision.accept(new Admission.LargerThanBurst(mParts.homeCapacityTokens()));
+            return;
+        }
+        if (mReservations.isFull() || mWaiting.size() >= mSettings.maximumWaiting()) {
+            decision.accept(new Admission.Overloaded());
+            return;
+        }
+        advance(nowMilliseconds);
+        mDemand.add(tokens);
+        long deadline = nowMilliseconds + mSettings.longestWaitMilliseconds();
+        if (mWaiting.isEmpty() && grantFromPool(tokens, decision)) {
+            askWhenLow(nowMilliseconds);
+        } else if (mLink.isPaused(nowMilliseconds) && grantFromFloor(tokens, decision)) {
+            askWhenLow(nowMilliseconds);
+        } else if (!mLink.isHopeful() || mLink.pausedUntil() > deadline) {
+            decideFromFloor(tokens, decision, nowMilliseconds);
+        } else {
+            mWaiting.addLast(new WaitingReservation(tokens, deadline, decision));
+            mWaitingTokens += tokens;
+            askForWaiting(nowMilliseconds);
+        }
+    }
+
+    void settle(
+            Reservation reservation,
+            TokenPool.Origin origin,
+            long usedTokens,
+            long nowMilliseconds) {
+        advance(nowMilliseconds);
+        long unused = reservation.tokens() - usedTokens;
+        if (unused < 0) {
+            charge(-unused);
+        } else if (unused > 0 && origin.fencing() == TokenPool.Origin.FLOOR) {
+            mFloor.giveBack(origin.stamp(), unused);
+        } else if (unused > 0 && origin.fencing() == mLink.fencing()) {
+            mUnused.collect(origin.stamp(), unused);
+        }
+    }
+
+    void homeIs(NodeName home, long fencing, long nowMilliseconds) {
+        if (mLink.homeIs(home, fencing)) {
+            mUnused.forget(mFloor, nowMilliseconds);
+            askForWaiting(nowMilliseconds);
+        }
+    }
+
+    void receive(NodeName sender, GrantAnswer answer, long nowMilliseconds) {
+        advance(nowMilliseconds);
+        if (!mLink.accept(sender, answer)) {
+            return;
+        }
+        mUnused.taken(answer.getTakenBatch(), mFloor, nowMilliseconds, answer.getLendAfterMs());
+        if (answer.getGrantedTokens() > 0) {
+            addGrant(answer, nowMilliseconds);
+        } else if (!mWaiting.isEmpty() || answer.getRetryAfterMs() > 0) {
+            pause(answer.getRetryAfterMs(), nowMilliseconds);
+        }
+        serveWaiting(nowMilliseconds);
+    }
+
+    void tick(long nowMilliseconds) {
+        advance(nowMilliseconds);
+        mDemand.advance(nowMilliseconds);
+        mLink.giveUp(nowMilliseconds);
+        returnIdle(nowMilliseconds);
+        serveWaiting(nowMilliseconds);
+        boolean worthReporting = mUnused.hasCollected() || mFloor.hasToLend(nowMilliseconds);
+        if (worthReporting && nowMilliseconds - mLink.sentMilliseconds() >= REPORT_MILLISECONDS) {
+            ask(0, wanted(), nowMilliseconds);
+        }
+        askWhenLow(nowMilliseconds);
+    }
+
+    /** Refuses all requests until the limit is changed; what was handed out stays counted. */
+    void remove() {
+        mListed = false;
+        while (!mWaiting.isEmpty()) {
+            removeFirst().decision().accept(new Admission.UnknownAccount());
+        }
+    }
+
+    private void advance(long nowMilliseconds) {
+        mPool.expire(nowMilliseconds);
+        mFloor.advance(nowMilliseconds);
+    }
+
+    private boolean grantFromPool(long tokens, Consumer<Admission> decision) {
+        Optional<TokenPool.Origin> origin = mPool.take(tokens);
+        origin.ifPresent(taken -> grant(tokens, taken, decision));
+        return origin.isPresent();
+    }
+
+    private void grant(long tokens, TokenPool.Origin origin, Consumer<Admission> decision) {
+        Reservation reservation = mReservations.open(mAccount, tokens, origin);
+        decision.accept(new Admission.Granted(reservation));
+    }
+
+    private boolean grantFromFloor(long tokens, Consumer<Admission> decision) {
+        if (!mFloor.take(tokens)) {
+            return false;
+        }
+        long stamp = mFloor.stamp();
+        grant(tokens, new TokenPool.Origin(TokenPool.Origin.FLOOR, stamp), decision);
+        return true;
+    }
+
+    private void decideFromFloor(long tokens, Consumer<Admission> decision, long nowMilliseconds) {
+        if (grantFromFloor(tokens, decision)) {
+            return;
+        }
+        long pause = Math.max(LEAST_PAUSE_MILLISECONDS, mLink.pausedUntil() - nowMilliseconds);
+        decision.accept(new Admission.Refused(Duration.ofMillis(pause)));
+    }
+
+    private void serveWaiting(long nowMilliseconds) {
+        boolean served = true;
+        while (served && !mWaiting.isEmpty()) {
+            WaitingReservation first = mWaiting.getFirst();
+            served = grantFromPool(first.tokens(), first.decision());
+            if (!served && isHopeless(first, nowMilliseconds)) {
+                decideFromFloor(first.tokens(), first.decision(), nowMilliseconds);
+                served = true;
+            }
+            if (served) {
+                removeFirst();
+            }
+        }
+        askForWaiting(nowMilliseconds);
+    }
+
+    private boolean isHopeless(WaitingReservation waiting, long nowMilliseconds) {
+        return !mLink.isHopeful()
+                || nowMilliseconds >= waiting.deadlineMilliseconds()
+                || mLink.pausedUntil() > waiting.deadlineMilliseconds();
+    }
+
+    private WaitingReservation removeFirst() {
+        WaitingReservation first = mWaiting.removeFirst();
+        mWaitingTokens -= first.tokens();
+        return first;
+    }
+
+    private void askForWaiting(long nowMilliseconds) {
+        if (!mWaiting.isEmpty()) {
+            ask(mWaiting.getFirst().tokens() - mPool.tokens(), wanted(), nowMilliseconds);
+        }
+    }
+
+    private void askWhenLow(long nowMilliseconds) {
+        if (mPool.tokens() < target() / 2) {
+            ask(1, wanted(), nowMilliseconds);
+        }
+    }
+
+    private void ask(long minimumTokens, long wantedTokens, long nowMilliseconds) {
+        if (!mLink.mayAsk(nowMilliseconds)) {
+            return;
+        }
+        GrantRequest.Builder request = mLink.request(nowMilliseconds);
+        mUnused.addTo(request, mFloor, nowMilliseconds);
+        request.setHeldTokens(mPool.tokensUnder(mLink.fencing()))
+                .setMinimumTokens(Math.max(0, minimumTokens))
+                .setWantedTokens(Math.max(0, wantedTokens));
+        mOutbox.send(mLink.home(), LimitsMessage.newBuilder().setGrantRequest(request).build());
+    }
+
+    private long target() {
+        return mDemand.tokensPerSecond() * TARGET_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    }
+
+    private long wanted() {
+        return mWaitingTokens + target() + mDebtTokens - mPool.tokens();
+    }
+
+    private void addGrant(GrantAnswer answer, long nowMilliseconds) {
+        long paid = Math.min(mDebtTokens, answer.getGrantedTokens());
+        mDebtTokens -= paid;
+        long until = mLink.sentMilliseconds() + mSettings.grantMilliseconds();
+        TokenPool.Origin origin = new TokenPool.Origin(answer.getFencing(), answer.getStamp());
+        if (answer.getGrantedTokens() > paid) {
+            mPool.add(origin, answer.getGrantedTokens() - paid, nowMilliseconds, until);
+        }
+        mPool.expire(nowMilliseconds);
+    }
+
+    private void pause(long retryAfterMilliseconds, long nowMilliseconds) {
+        long pause = Math.max(LEAST_PAUSE_MILLISECONDS, retryAfterMilliseconds);
+        mLink.pause(nowMilliseconds + Math.min(MOST_PAUSE_MILLISECONDS, pause));
+    }
+
+    private void returnIdle(long nowMilliseconds) {
+        long before = nowMilliseconds - mSettings.grantMilliseconds() / 2;
+        boolean found = true;
+        while (found && mPool.tokens() > target()) {
+            Optional<TokenPool.Lot> idle = mPool.takeIdle(mLink.fencing(), before);
+            idle.ifPresent(lot -> mUnused.collect(lot.origin().stamp(), lot.tokens()));
+            found = idle.isPresent();
+        }
+    }
+
+    private void charge(long tokens) {
+        long fromPool = Math.min(tokens, mPool.tokens());
+        if (fromPool > 0) {
+            mPool.take(fromPool);
+        }
+        mDebtTokens += tokens - fromPool - mFloor.takeUpTo(tokens - fromPool);
+    }
+}
--- /dev/null
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HolderSession.java
@@ -0,0 +1,85 @@
+package org.foxtailridge.limits.grant;
+
+/** What a home node knows of one process that it grants tokens to. */
+final class HolderSession {
+    private long mIncarnation;
+    private long mNumber;
+    private long mTakenBatch;
+    private long mHeldTokens;
+    private long mHeldUntilMilliseconds;
+    private long mRetiredTokens;
+    private long mRetiredUntilMilliseconds;
+    private long mOwedTokens;
+    private long mHeardMilliseconds;
+
+    /** Returns whether a request is newer than all before; notes it if it is. */
+    boolean accept(long incarnation, long number, long nowMilliseconds) {
+        if (incarnation < mIncarnation) {
+            return false;
+        }
+        if (incarnation > mIncarnation) {
+            retire();
+            mIncarnation = incarnation;
+            mNumber = 0;
+            mTakenBatch = 0;
+        }
+        if (number <= mNumber) {
+            return false;
+        }
+        mNumber = number;
+        mHeardMilliseconds = nowMilliseconds;
+        return true;
+    }
+
+    /** Notes that the holder has no more than these tokens and takes no earlier grant any more. */
+    void report(long heldTokens) {
+        mHeldTokens = heldTokens;
+    }
+
+    void grant(long tokens, long untilMilliseconds) {
+        mHeldTokens += tokens;
+        mHeldUntilMilliseconds = untilMilliseconds;
+    }
+
+    /** Drops what has lapsed at the holder. */
+    void expire(long nowMilliseconds) {
+        if (nowMilliseconds >= mHeldUntilMilliseconds) {
+            mHeldTokens = 0;
+        }
+        if (nowMilliseconds >= mRetiredUntilMilliseconds) {
+            mRetiredTokens = 0;
+        }
+    }
+
+    long outstandingTokens() {
+        return mHeldTokens + mRetiredTokens;
+    }
+
+    long takenBatch() {
+        return mTakenBatch;
+    }
+
+    void batchTaken(long batch) {
+        mTakenBatch = batch;
+    }
+
+    long heardMilliseconds() {
+        return mHeardMilliseconds;
+    }
+
+    void owe(long tokens) {
+        mOwedTokens += tokens;
+    }
+
+    long payOwed() {
+        long owed = mOwedTokens;
+        mOwedTokens = 0;
+        return owed;
+    }
+
+    private void retire() {
+        mRetiredTokens += mHeldTokens;
+        mRetiredUntilMilliseconds = Math.max(mRetiredUntilMilliseconds, mHeldUntilMilliseconds);
+        mHeldTokens = 0;
+    }
+}
--- /dev/null
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HomeBucket.java
@@ -0,0 +1,215 @@
+package org.foxtailridge.limits.grant;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.limits.HomeLease;
+import org.foxtailridge.limits.LimiterSettings;
+import org.foxtailridge.limits.bucket.TokenBucket;
+import org.foxtailridge.protocol.limits.GrantAnswer;
+import org.foxtailridge.protocol.limits.GrantRequest;
+import org.foxtailridge.protocol.limits.HomeHandover;
+import org.foxtailridge.protocol.limits.UnusedTokens;
+
+/**
+ * The bucket of one client account at its home node, under one fencing number.
+ *
+ * <p>Tokens that a holder may still spend count against the capacity until the holder reports less
+ * or they have lapsed. A home node that does not know what former ones granted counts the whole
+ * capacity as outstanding until all such grants have lapsed.
+ */
+final class HomeBucket {
+    private static final long MILLION = 1_000_000;
+    private static final long GRANT_DIVISOR = 2;
+    private static final long LEND_PAUSE_MILLISECONDS = 5_000;
+    private static final int MAXIMUM_UNUSED_ENTRIES = 64;
+
+    private final LimiterSettings mSettings;
+    private final GrantRules mRules;
+    private final HomeLease mFirstLease;
+    private final TokenBucket mBucket;
+    private final Map<NodeName, HolderSession> mSessions = new HashMap<>();
+    private long mUntilMilliseconds;
+    private long mFormerTokens;
+    private long mFormerUntilMilliseconds;
+    private boolean mFormerUnknown;
+    private boolean mClosed;
+
+    HomeBucket(
+            LimiterSettings settings,
+            GrantRules rules,
+            LimitParts parts,
+            HomeLease lease,
+            long nowMilliseconds) {
+        mSettings = settings;
+        mRules = rules;
+        mFirstLease = lease;
+        mUntilMilliseconds = lease.until().toEpochMilli();
+        mBucket =
+                new TokenBucket(
+                        parts.homeMilliTokensPerSecond(),
+                        parts.homeCapacityTokens(),
+                        nowMilliseconds);
+        if (rules.startsFull(lease)) {
+            mBucket.fill();
+        } else if (rules.countsFormerGrants()) {
+            mFormerUnknown = true;
+            mFormerTokens = parts.homeCapacityTokens();
+            mFormerUntilMilliseconds = nowMilliseconds + grantLifetime();
+        }
+        countOutstanding();
+    }
+
+    long fencing() {
+        return mFirstLease.fencing();
+    }
+
+    void renew(HomeLease lease) {
+        mUntilMilliseconds = Math.max(mUntilMilliseconds, lease.until().toEpochMilli());
+    }
+
+    void change(LimitParts parts, long nowMilliseconds) {
+        mBucket.advance(nowMilliseconds);
+        mBucket.change(parts.homeMilliTokensPerSecond(), parts.homeCapacityTokens());
+    }
+
+    /** Stops granting for good. */
+    void close() {
+        mClosed = true;
+    }
+
+    /** Returns whether grants are made at this instant. */
+    boolean isOpen(long nowMilliseconds) {
+        return !mClosed && mRules.isLeased(nowMilliseconds, mUntilMilliseconds);
+    }
+
+    /** Answers a request, or returns null when it is old or this node may not grant. */
+    GrantAnswer answer(NodeName sender, GrantRequest request, long nowMilliseconds) {
+        if (!isOpen(nowMilliseconds) || request.getFencing() != fencing()) {
+            return null;
+        }
+        HolderSession session = sessionOf(sender);
+        if (session == null
+                || !session.accept(
+                        request.getIncarnation(), request.getNumber(), nowMilliseconds)) {
+            return null;
+        }
+        session.report(request.getHeldTokens());
+        expire(nowMilliseconds);
+        mBucket.take(Math.min(session.payOwed(), mBucket.level()));
+        boolean lendUseful = takeBatch(session, request);
+        long granted = grant(session, request, nowMilliseconds);
+        long retryAfter = granted > 0 ? 0 : mBucket.millisecondsUntil(request.getMinimumTokens());
+        return GrantAnswer.newBuilder()
+                .setAccount(request.getAccount())
+                .setFencing(fencing())
+                .setNumber(request.getNumber())
+                .setIncarnation(request.getIncarnation())
+                .setGrantedTokens(granted)
+                .setStamp(mBucket.stamp())
+                .setTakenBatch(session.takenBatch())
+                .setRetryAfterMs(retryAfter)
+                .setLendAfterMs(lendUseful ? 0 : LEND_PAUSE_MILLISECONDS)
+                .build();
+    }
+
+    /** Drops what has lapsed at holders, refills, and forgets holders that are long silent. */
+    void expire(long nowMilliseconds) {
+        mBucket.advance(nowMilliseconds);
+        if (nowMilliseconds >= mFormerUntilMilliseconds) {
+            mFormerTokens = 0;
+            mFormerUnknown = false;
+        }
+        long silentSince = nowMilliseconds - mSettings.messageLifetimeMilliseconds();
+        mSessions.values().forEach(session -> session.expire(nowMilliseconds));
+        mSessions.values().removeIf(session -> session.heardMilliseconds() < silentSince);
+        countOutstanding();
+    }
+
+    /** Returns the state for the next home node; only after this one has stopped granting. */
+    HomeHandover handover(long nowMilliseconds) {
+        expire(nowMilliseconds);
+        return HomeHandover.newBuilder()
+                .setAccount(mFirstLease.account().value())
+                .setFencing(fencing())
+                .setLevelTokens(mBucket.level())
+                .setOutstandingTokens(outstanding())
+                .build();
+    }
+
+    /**
+     * Takes over the state of the home node before this one. Has an effect once, and only while its
+     * grants are still counted as unknown, as nothing was granted here until then.
+     */
+    void takeOver(HomeHandover handover, long nowMilliseconds) {
+        expire(nowMilliseconds);
+        boolean fromFormer =
+                mFirstLease.former().isPresent()
+                        && mFirstLease.former().getAsLong() == handover.getFencing();
+        if (!fromFormer || !mFormerUnknown) {
+            return;
+        }
+        mFormerUnknown = false;
+        mFormerTokens = handover.getOutstandingTokens();
+        countOutstanding();
+        mBucket.add(handover.getLevelTokens());
+    }
+
+    private boolean takeBatch(HolderSession session, GrantRequest request) {
+        if (request.getBatch() == 0
+                || !mRules.isNewBatch(request.getBatch(), session.takenBatch())) {
+            return true;
+        }
+        session.batchTaken(request.getBatch());
+        request.getUnusedList().stream().limit(MAXIMUM_UNUSED_ENTRIES).forEach(this::giveBack);
+        return mBucket.add(request.getLentTokens()) >= request.getLentTokens();
+    }
+
+    private void giveBack(UnusedTokens unused) {
+        mRules.giveBack(mBucket, unused.getStamp(), Math.max(0, unused.getTokens()));
+    }
+
+    private long grant(HolderSession session, GrantRequest request, long nowMilliseconds) {
+        long level = mBucket.level();
+        long minimum = Math.max(1, request.getMinimumTokens());
+        if (request.getWantedTokens() <= 0 || level < minimum) {
+            return 0;
+        }
+        long most = Math.max(minimum, level / GRANT_DIVISOR);
+        long granted = Math.min(most, Math.max(minimum, request.getWantedTokens()));
+        if (mRules.takesBeforeSending()) {
+            mBucket.take(granted);
+            session.grant(granted, nowMilliseconds + grantLifetime());
+            countOutstanding();
+        } else {
+            session.owe(granted);
+        }
+        return granted;
+    }
+
+    private HolderSession sessionOf(NodeName sender) {
+        HolderSession session = mSessions.get(sender);
+        if (session == null && mSessions.size() < mSettings.maximumHolders()) {
+            session = new HolderSession();
+            mSessions.put(sender, session);
+        }
+        return session;
+    }
+
+    private long grantLifetime() {
+        long grant = mSettings.grantMilliseconds();
+        return grant + 1 + grant * 2 * mSettings.clockDriftPartsPerMillion() / MILLION + 1;
+    }
+
+    private long outstanding() {
+        long held = 0;
+        for (HolderSession session : mSessions.values()) {
+            held += session.outstandingTokens();
+        }
+        return held + mFormerTokens;
+    }
+
+    private void countOutstanding() {
+        mBucket.outstanding(outstanding());
+    }
+}
--- /dev/null
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HomeLink.java
@@ -0,0 +1,123 @@
+package org.foxtailridge.limits.grant;
+
+import org.foxtailridge.core.name.ClientAccountName;
+import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.limits.LimiterSettings;
+import org.foxtailridge.protocol.limits.GrantAnswer;
+import org.foxtailridge.protocol.limits.GrantRequest;
+
+/**
+ * The exchange of one holder with the home node of one client account: one request at a time, each
+ * with a new number; an answer to any other number is dropped.
+ */
+final class HomeLink {
+    private static final int MAXIMUM_FAILURES = 3;
+    private static final long PROBE_MILLISECONDS = 500;
+
+    private final LimiterSettings mSettings;
+    private final ClientAccountName mAccount;
+    private NodeName mHome;
+    private long mFencing;
+    private long mNumber;
+    private long mSentMilliseconds = Long.MIN_VALUE / 2;
+    private long mPausedUntilMilliseconds;
+    private boolean mPending;
+    private int mFailures;
+
+    HomeLink(LimiterSettings settings, ClientAccountName account) {
+        mSettings = settings;
+        mAccount = account;
+    }
+
+    /** Notes the home node; returns whether it is another lease than before. */
+    boolean homeIs(NodeName home, long fencing) {
+        if (fencing <= mFencing) {
+            return false;
+        }
+        mHome = home;
+        mFencing = fencing;
+        mPending = false;
+        mFailures = 0;
+        mPausedUntilMilliseconds = 0;
+        return true;
+    }
+
+    NodeName home() {
+        return mHome;
+    }
+
+    long fencing() {
+        return mFencing;
+    }
+
+    /** Returns whether a waiting reservation may hope for tokens of the home node. */
+    boolean isHopeful() {
+        return mHome != null && mFailures < MAXIMUM_FAILURES;
+    }
+
+    boolean isPending() {
+        return mPending;
+    }
+
+    /** Returns whether the home node has said that it has nothing until a later instant. */
+    boolean isPaused(long nowMilliseconds) {
+        return nowMilliseconds < mPausedUntilMilliseconds;
+    }
+
+    long pausedUntil() {
+        return mPausedUntilMilliseconds;
+    }
+
+    void pause(long untilMilliseconds) {
+        mPausedUntilMilliseconds = untilMilliseconds;
+    }
+
+    boolean mayAsk(long nowMilliseconds) {
+        if (mHome == null || mPending || isPaused(nowMilliseconds)) {
+            return false;
+        }
+        return isHopeful() || nowMilliseconds - mSentMilliseconds >= PROBE_MILLISECONDS;
+    }
+
+    long sentMilliseconds() {
+        return mSentMilliseconds;
+    }
+
+    /** Starts a new request. */
+    GrantRequest.Builder request(long nowMilliseconds) {
+        mNumber++;
+        mPending = true;
+        mSentMilliseconds = nowMilliseconds;
+        return GrantRequest.newBuilder()
+                .setAccount(mAccount.value())
+                .setFencing(mFencing)
+                .setIncarnation(mSettings.incarnation())
+                .setNumber(mNumber);
+    }
+
+    /** Gives the request up if its answer is late; returns whether it did. */
+    boolean giveUp(long nowMilliseconds) {
+        boolean late = nowMilliseconds - mSentMilliseconds >= mSettings.answerTimeoutMilliseconds();
+        if (!mPending || !late) {
+            return false;
+        }
+        mPending = false;
+        mFailures++;
+        return true;
+    }
+
+    /** Returns whether an answer belongs to the request under way, which it ends. */
+    boolean accept(NodeName sender, GrantAnswer answer) {
+        boolean expected =
+                mPending
+                        && sender.equals(mHome)
+                        && answer.getFencing() == mFencing
+                        && answer.getIncarnation() == mSettings.incarnation()
+                        && answer.getNumber() == mNumber;
+        if (expected) {
+            mPending = false;
+            mFailures = 0;
+        }
+        return expected;
+    }
+}
--- /dev/null
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/LimitParts.java
@@ -0,0 +1,51 @@
+package org.foxtailridge.limits.grant;
+
+import org.foxtailridge.limits.LimiterSettings;
+import org.foxtailridge.limits.TokenLimit;
+
+/**
+ * A limit divided into the part of the home node and equal floors of all nodes.
+ *
+ * <p>Rates are lowered by the clock drift and capacities by what a clock of whole milliseconds may
+ * refill too early, so that the sum never exceeds the limit.
+ *
+ * @param homeMilliTokensPerSecond refill of the home node's bucket, in thousandths of a token
+ * @param homeCapacityTokens capacity of the home node's bucket
+ * @param floorMilliTokensPerSecond refill of one node's floor, in thousandths of a token
+ * @param floorCapacityTokens capacity of one node's floor
+ */
+record LimitParts(
+        long homeMilliTokensPerSecond,
+        long homeCapacityTokens,
+        long floorMilliTokensPerSecond,
+        long floorCapacityTokens) {
+    private static final long PERCENT = 100;
+    private static final long MILLI = 1_000;
+    private static final long MILLION = 1_000_000;
+
+    static LimitParts of(TokenLimit limit, LimiterSettings settings) {
+        long rate = afterDrift(limit.rateTokensPerSecond() * MILLI, settings);
+        long nodes = settings.maximumNodes();
+        long floorRate = rate / PERCENT * settings.floorPercent() / nodes;
+        long floorBurst = limit.burstTokens() * settings.floorPercent() / PERCENT / nodes;
+        long floorCapacity = floorBurst - earlyTokens(floorRate);
+        if (floorCapacity <= 0) {
+            floorRate = 0;
+            floorBurst = 0;
+            floorCapacity = 0;
+        }
+        long homeRate = rate - floorRate * nodes;
+        long homeBurst = limit.burstTokens() - floorBurst * nodes;
+        long homeCapacity = Math.max(1, homeBurst - earlyTokens(homeRate));
+        return new LimitParts(homeRate, homeCapacity, floorRate, floorCapacity);
+    }
+
+    private static long afterDrift(long milliTokens, LimiterSettings settings) {
+        long kept = MILLION - settings.clockDriftPartsPerMillion();
+        return milliTokens / MILLION * kept + milliTokens % MILLION * kept / MILLION;
+    }
+
+    private static long earlyTokens(long milliTokensPerSecond) {
+        return milliTokensPerSecond / MILLION + 1;
+    }
+}
--- /dev/null
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/UnusedBatch.java
@@ -0,0 +1,78 @@
+package org.foxtailridge.limits.grant;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.foxtailridge.protocol.limits.GrantRequest;
+import org.foxtailridge.protocol.limits.UnusedTokens;
+
+/**
+ * Collects unused and lent tokens and reports them to the home node in numbered batches.
+ *
+ * <p>One batch is under way at a time and is repeated unchanged until the home node has named its
+ * number, so that a lost or doubled message neither loses nor doubles tokens.
+ */
+final class UnusedBatch {
+    private static final int MAXIMUM_ENTRIES = 32;
+
+    private final TreeMap<Long, Long> mCollected = new TreeMap<>();
+    private final TreeMap<Long, Long> mUnderWay = new TreeMap<>();
+    private long mBatch;
+    private long mLentTokens;
+    private boolean mIsUnderWay;
+
+    void collect(long stamp, long tokens) {
+        mCollected.merge(stamp, tokens, Long::sum);
+        if (mCollected.size() > MAXIMUM_ENTRIES) {
+            Map.Entry<Long, Long> oldest = mCollected.pollFirstEntry();
+            Map.Entry<Long, Long> second = mCollected.pollFirstEntry();
+            mCollected.put(oldest.getKey(), oldest.getValue() + second.getValue());
+        }
+    }
+
+    boolean hasCollected() {
+        return mIsUnderWay || !mCollected.isEmpty();
+    }
+
+    /** Puts the batch under way, or a new one with a loan from the floor, into a request. */
+    void addTo(GrantRequest.Builder request, Floor floor, long nowMilliseconds) {
+        if (!mIsUnderWay) {
+            start(floor, nowMilliseconds);
+        }
+        if (!mIsUnderWay) {
+            return;
+        }
+        request.setBatch(mBatch).setLentTokens(mLentTokens);
+        mUnderWay.forEach(
+                (stamp, tokens) ->
+                        request.addUnused(
+                                UnusedTokens.newBuilder().setStamp(stamp).setTokens(tokens)));
+    }
+
+    /** Ends the batch under way if the home node has taken it. */
+    void taken(long batch, Floor floor, long nowMilliseconds, long lendAfterMilliseconds) {
+        if (mIsUnderWay && batch == mBatch) {
+            mIsUnderWay = false;
+            mUnderWay.clear();
+            floor.endLoan(nowMilliseconds, lendAfterMilliseconds);
+        }
+    }
+
+    /** Forgets all, as a new home node gives nothing back for grants of the one before. */
+    void forget(Floor floor, long nowMilliseconds) {
+        mCollected.clear();
+        mUnderWay.clear();
+        mIsUnderWay = false;
+        floor.endLoan(nowMilliseconds, 0);
+    }
+
+    private void start(Floor floor, long nowMilliseconds) {
+        mLentTokens = floor.lend(nowMilliseconds);
+        if (mLentTokens == 0 && mCollected.isEmpty()) {
+            return;
+        }
+        mBatch++;
+        mIsUnderWay = true;
+        mUnderWay.putAll(mCollected);
+        mCollected.clear();
+    }
+}
--- /dev/null
+++ b/limits/src/test/java/org/foxtailridge/limits/grant/HomeBucketTest.java
@@ -0,0 +1,156 @@
+package org.foxtailridge.limits.grant;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.OptionalLong;
+import org.foxtailridge.core.name.ClientAccountName;
+import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.limits.HomeLease;
+import org.foxtailridge.limits.LimiterSettings;
+import org.foxtailridge.protocol.limits.GrantAnswer;
+import org.foxtailridge.protocol.limits.GrantRequest;
+import org.foxtailridge.protocol.limits.HomeHandover;
+import org.foxtailridge.protocol.limits.UnusedTokens;
+import org.junit.jupiter.api.Test;
+
+/** Checks what a home node counts, and that each check fails when the rule is broken. */
+class HomeBucketTest {
+    private static final NodeName HOLDER = NodeName.of("holder");
+    private static final ClientAccountName ACCOUNT = ClientAccountName.of("account");
+    private static final LimitParts PARTS = new LimitParts(100_000, 1_000, 0, 0);
+    private static final LimiterSettings SETTINGS =
+            LimiterSettings.builder(NodeName.of("home"), 1).grantMilliseconds(2_000).build();
+
+    @Test
+    void should_take_a_repeated_batch_once() {
+        assertThat(overAfterRepeatedBatch(new GrantRules())).isZero();
+    }
+
+    @Test
+    void should_see_a_batch_that_is_taken_twice() {
+        // GIVEN
+        GrantRules broken =
+                new GrantRules() {
+                    @Override
+                    boolean isNewBatch(long batch, long takenBatch) {
+                        return true;
+                    }
+                };
+        // THEN
+        assertThat(overAfterRepeatedBatch(broken)).isPositive();
+    }
+
+    @Test
+    void should_grant_nothing_while_former_grants_may_be_spent() {
+        assertThat(overAfterUnknownFormer(new GrantRules())).isZero();
+    }
+
+    @Test
+    void should_see_forgotten_former_grants() {
+        // GIVEN
+        GrantRules broken =
+                new GrantRules() {
+                    @Override
+                    boolean countsFormerGrants() {
+                        return false;
+                    }
+                };
+        // THEN
+        assertThat(overAfterUnknownFormer(broken)).isPositive();
+    }
+
+    @Test
+    void should_drop_a_doubled_request() {
+        // GIVEN
+        HomeBucket home = home(new GrantRules(), OptionalLong.empty());
+        GrantRequest request = request(1).setMinimumTokens(10).setWantedTokens(10).build();
+        home.answer(HOLDER, request, 0);
+        // WHEN
+        GrantAnswer second = home.answer(HOLDER, request, 1);
+        // THEN
+        assertThat(second).isNull();
+    }
+
+    @Test
+    void should_take_over_the_level_of_the_former_home_once() {
+        // GIVEN
+        HomeBucket home = home(new GrantRules(), OptionalLong.of(6));
+        HomeHandover handover =
+                HomeHandover.newBuilder()
+                        .setAccount("account")
+                        .setFencing(6)
+                        .setLevelTokens(500)
+                        .setOutstandingTokens(300)
+                        .build();
+        // WHEN
+        home.takeOver(handover, 10);
+        home.takeOver(handover, 11);
+        GrantAnswer answer =
+                home.answer(
+                        HOLDER,
+                        request(1).setMinimumTokens(500).setWantedTokens(1_000).build(),
+                        11);
+        // THEN
+        assertThat(answer.getGrantedTokens()).isEqualTo(500);
+    }
+
+    @Test
+    void should_ignore_a_handover_that_comes_after_grants_were_made() {
+        // GIVEN
+        HomeBucket home = home(new GrantRules(), OptionalLong.of(6));
+        home.expire(2_100);
+        home.answer(HOLDER, request(1).setMinimumTokens(900).setWantedTokens(900).build(), 14_000);
+        // WHEN
+        home.takeOver(
+                HomeHandover.newBuilder().setFencing(6).setLevelTokens(1_000).build(), 14_000);
+        GrantAnswer answer =
+                home.answer(
+                        HOLDER,
+                        request(2).setMinimumTokens(200).setWantedTokens(200).build(),
+                        14_000);
+        // THEN
+        assertThat(answer.getGrantedTokens()).isZero();
+    }
+
+    /** Uses 700 tokens, reports 300 unused ones twice, and returns what exceeds the capacity. */
+    private static long overAfterRepeatedBatch(GrantRules rules) {
+        HomeBucket home = home(rules, OptionalLong.empty());
+        home.answer(HOLDER, request(1).setMinimumTokens(700).setWantedTokens(700).build(), 0);
+        GrantAnswer second =
+                home.answer(
+                        HOLDER, request(2).setMinimumTokens(300).setWantedTokens(300).build(), 0);
+        UnusedTokens unused =
+                UnusedTokens.newBuilder().setStamp(second.getStamp()).setTokens(300).build();
+        home.answer(HOLDER, request(3).setBatch(1).addUnused(unused).build(), 0);
+        home.answer(HOLDER, request(4).setBatch(1).addUnused(unused).build(), 0);
+        GrantAnswer last =
+                home.answer(
+                        HOLDER, request(5).setMinimumTokens(301).setWantedTokens(1_000).build(), 0);
+        return Math.max(0, 700 + last.getGrantedTokens() - PARTS.homeCapacityTokens());
+    }
+
+    /** Assumes that all tokens are still held under the former home; returns what exceeds them. */
+    private static long overAfterUnknownFormer(GrantRules rules) {
+        HomeBucket home = home(rules, OptionalLong.of(6));
+        GrantAnswer answer =
+                home.answer(
+                        HOLDER,
+                        request(1).setMinimumTokens(1).setWantedTokens(1_000).build(),
+                        SETTINGS.grantMilliseconds());
+        return answer.getGrantedTokens();
+    }
+
+    private static HomeBucket home(GrantRules rules, OptionalLong former) {
+        HomeLease lease = new HomeLease(ACCOUNT, 7, Instant.ofEpochMilli(60_000), former);
+        return new HomeBucket(SETTINGS, rules, PARTS, lease, 0);
+    }
+
+    private static GrantRequest.Builder request(long number) {
+        return GrantRequest.newBuilder()
+                .setAccount("account")
+                .setFencing(7)
+                .setIncarnation(1)
+                .setNumber(number);
+    }
+}
--- /dev/null
+++ b/limits/src/test/java/org/foxtailridge/limits/grant/LimitWindowTest.java
@@ -0,0 +1,39 @@
+package org.foxtailridge.limits.grant;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+
+/** Checks that all nodes together never exceed burst plus rate times time, whatever fails. */
+class LimitWindowTest {
+    private static final int STEPS = 400;
+
+    @Property(seed = "4101", tries = 10_000, shrinking = ShrinkingMode.OFF)
+    void should_stay_within_the_limit_in_every_window(@ForAll long seed) {
+        // GIVEN
+        LimitsFleet fleet = new LimitsFleet(seed, new GrantRules());
+        // WHEN
+        fleet.run(STEPS);
+        // THEN
+        assertThat(fleet.overTokens()).as("tokens over the limit, seed %d", seed).isZero();
+    }
+
+    @Test
+    void should_grant_most_of_the_limit_in_spite_of_the_faults() {
+        // GIVEN
+        long fleets = 200;
+        // WHEN
+        long granted =
+                LongStream.range(0, fleets)
+                        .mapToObj(seed -> new LimitsFleet(seed, new GrantRules()))
+                        .peek(fleet -> fleet.run(STEPS))
+                        .mapToLong(LimitsFleet::grantedTokens)
+                        .sum();
+        // THEN the check above is not passed by granting nothing
+        assertThat(granted / fleets).isGreaterThan(2_000);
+    }
+}
--- /dev/null
+++ b/limits/src/test/java/org/foxtailridge/limits/grant/MutatedGrantRulesTest.java
@@ -0,0 +1,75 @@
+package org.foxtailridge.limits.grant;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.stream.LongStream;
+import org.foxtailridge.limits.HomeLease;
+import org.foxtailridge.limits.bucket.TokenBucket;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Checks that the check of the window sees each broken rule. */
+class MutatedGrantRulesTest {
+    private static final int STEPS = 400;
+    private static final int MOST_FLEETS = 3_000;
+
+    @ParameterizedTest
+    @EnumSource(Mutation.class)
+    void should_exceed_the_limit_when_a_rule_is_broken(Mutation mutation) {
+        // WHEN
+        boolean caught =
+                LongStream.range(0, MOST_FLEETS).anyMatch(seed -> exceeds(seed, mutation.mRules));
+        // THEN
+        assertThat(caught).as("%s is caught", mutation).isTrue();
+    }
+
+    private static boolean exceeds(long seed, GrantRules rules) {
+        LimitsFleet fleet = new LimitsFleet(seed, rules);
+        fleet.run(STEPS);
+        return fleet.overTokens() > 0;
+    }
+
+    private enum Mutation {
+        GRANT_EXPIRY_IGNORED(
+                new GrantRules() {
+                    @Override
+                    boolean isUsable(long nowMilliseconds, long untilMilliseconds) {
+                        return true;
+                    }
+                }),
+        LEASE_EXPIRY_IGNORED(
+                new GrantRules() {
+                    @Override
+                    boolean isLeased(long nowMilliseconds, long untilMilliseconds) {
+                        return true;
+                    }
+                }),
+        RECEIVER_INCREMENTS_FIRST(
+                new GrantRules() {
+                    @Override
+                    boolean takesBeforeSending() {
+                        return false;
+                    }
+                }),
+        NEW_HOME_STARTS_FULL(
+                new GrantRules() {
+                    @Override
+                    boolean startsFull(HomeLease lease) {
+                        return true;
+                    }
+                }),
+        UNUSED_GIVEN_BACK_WITHOUT_BOUND(
+                new GrantRules() {
+                    @Override
+                    long giveBack(TokenBucket bucket, long stamp, long tokens) {
+                        return bucket.add(tokens);
+                    }
+                });
+
+        private final GrantRules mRules;
+
+        Mutation(GrantRules rules) {
+            mRules = rules;
+        }
+    }
+}
