--- /dev/null
+++ b/placement/src/main/java/org/foxtailridge/placement/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Accounting of accelerator memory. */
+package org.foxtailridge.placement.memory;
--- /dev/null
+++ b/placement/src/test/java/org/foxtailridge/placement/simulation/Simulation.java
@@ -0,0 +1,379 @@
+package org.foxtailridge.placement.simulation;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.foxtailridge.configuration.model.Configuration;
+import org.foxtailridge.configuration.model.Model;
+import org.foxtailridge.core.time.ManualClock;
+import org.foxtailridge.placement.Placement;
+import org.foxtailridge.placement.engine.LoadReport;
+import org.foxtailridge.placement.order.DutyLease;
+import org.foxtailridge.placement.order.Order;
+import org.foxtailridge.placement.order.OrderAnswer;
+import org.foxtailridge.placement.order.OrderRecord;
+import org.foxtailridge.placement.order.OrderRecordCodec;
+import org.foxtailridge.placement.order.OrderRequest;
+
+/** Nodes, engines, log and network in one thread; what fails is drawn from a seed. */
+public final class Simulation {
+    private static final Duration STEP = Duration.ofMillis(100);
+    private static final Duration LEASE = Duration.ofSeconds(3);
+    private static final int TRANSMISSION_TIMEOUT_MILLISECONDS = 1_000;
+    private static final int POLL_STEPS = 4;
+    private static final int LATE_MILLISECONDS = 30_000;
+    private static final String PLANNING = "planning";
+
+    private final UniformRandomProvider mRandom;
+    private final SimulationSettings mSettings;
+    private final Function<SimulatedNode, Placement> mPlacements;
+    private final ManualClock mClock;
+    private final Map<String, SimulatedEngine> mEngines = new HashMap<>();
+    private final List<SimulatedNode> mNodes = new ArrayList<>();
+    private final List<LogEntry> mLog = new ArrayList<>();
+    private final Map<String, Holder> mHolders = new HashMap<>();
+    private final Map<String, Boolean> mWitnessedUnloads = new HashMap<>();
+    private final Set<String> mListed = new HashSet<>();
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparing(Event::due).thenComparingLong(Event::sequence));
+    private final List<String> mViolations = new ArrayList<>();
+    private Configuration mConfiguration;
+    private Instant mLogBackAt = Instant.EPOCH;
+    private long mSequence;
+    private long mFencing;
+    private long mSteps;
+    private boolean mFaultsAllowed = true;
+
+    /** Creates a simulation; the function makes each node's placement. */
+    Simulation(
+            long seed,
+            SimulationSettings settings,
+            ManualClock clock,
+            Function<SimulatedNode, Placement> placements) {
+        mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        mSettings = settings;
+        mClock = clock;
+        mPlacements = placements;
+    }
+
+    void engine(SimulatedEngine engine) {
+        mEngines.put(engine.mName, engine);
+    }
+
+    void nodes(int count) {
+        for (int node = 0; node < count; node++) {
+            mNodes.add(freshNode());
+        }
+    }
+
+    void configuration(Configuration configuration) {
+        mConfiguration = configuration;
+        mListed.clear();
+        configuration.all(Model.class).forEach(model -> mListed.add(model.name()));
+        mNodes.forEach(node -> node.mPlacement.configuration(configuration));
+    }
+
+    void run(Duration duration) {
+        Instant end = mClock.instant().plus(duration);
+        while (mClock.instant().isBefore(end)) {
+            step();
+        }
+    }
+
+    void stopFaults() {
+        mFaultsAllowed = false;
+    }
+
+    List<String> violations() {
+        return mViolations;
+    }
+
+    boolean isReachable(String model) {
+        return mEngines.values().stream().anyMatch(engine -> engine.serves(model));
+    }
+
+    SimulatedEngine engine(String name) {
+        return mEngines.get(name);
+    }
+
+    long recordsOf(Class<? extends OrderRecord> kind) {
+        return mLog.stream().filter(entry -> kind.isInstance(entry.record())).count();
+    }
+
+    void append(OrderRecord record) {
+        OrderRecord read = OrderRecordCodec.decode(OrderRecordCodec.encode(record));
+        if (mClock.instant().isBefore(mLogBackAt) || chance(mSettings.lost())) {
+            return;
+        }
+        after(delay(200), () -> admit(read));
+        if (chance(mSettings.doubled())) {
+            after(delay(2_000), () -> admit(read));
+        }
+    }
+
+    void send(SimulatedNode node, Order order) {
+        SimulatedEngine engine = mEngines.get(order.endpoint());
+        long incarnation = engine.mIncarnation;
+        boolean late = chance(mSettings.late());
+        boolean lost = chance(mSettings.lost());
+        int arrival = late ? delay(LATE_MILLISECONDS) : delay(100);
+        boolean[] closed = {false};
+        if (!lost) {
+            after(arrival, () -> arrive(node, order, closed));
+        }
+        if (chance(mSettings.doubled())) {
+            after(
+                    delay(5_000),
+                    () -> {
+                        if (engine.mIncarnation == incarnation) {
+                            arrive(node, order, new boolean[] {true});
+                        }
+                    });
+        }
+        after(
+                TRANSMISSION_TIMEOUT_MILLISECONDS,
+                () -> answer(node, order, OrderAnswer.LOST, closed));
+    }
+
+    void query(SimulatedNode node, String endpoint, String orderId, long query) {
+        if (chance(mSettings.lost())) {
+            return;
+        }
+        after(
+                delay(100),
+                () -> {
+                    SimulatedEngine engine = mEngines.get(endpoint);
+                    if (engine.mAlive) {
+                        OrderAnswer state = engine.stateOf(orderId);
+                        int back = chance(mSettings.late()) ? delay(5_000) : delay(100);
+                        deliver(
+                                node,
+                                back,
+                                () -> node.mPlacement.stateOf(endpoint, orderId, query, state));
+                    }
+                });
+    }
+
+    void request(OrderRequest request) {
+        Holder holder = mHolders.get(request.endpoint());
+        if (holder != null && !chance(mSettings.lost())) {
+            deliver(holder.node(), delay(50), () -> holder.node().mPlacement.requested(request));
+        }
+    }
+
+    private void step() {
+        mClock.advance(STEP);
+        mSteps++;
+        if (mFaultsAllowed) {
+            breakThings();
+        }
+        while (!mEvents.isEmpty() && !mEvents.peek().due().isAfter(mClock.instant())) {
+            mEvents.poll().action().run();
+        }
+        for (SimulatedEngine engine : mEngines.values()) {
+            engine.advance(mClock.millis());
+            checkMemory(engine);
+        }
+        grantLeases();
+        for (SimulatedNode node : mNodes) {
+            if (node.runsAt(mClock.instant())) {
+                readLog(node);
+                poll(node);
+                node.mPlacement.tick();
+            }
+        }
+    }
+
+    private void breakThings() {
+        if (chance(mSettings.pause())) {
+            SimulatedNode node = mNodes.get(mRandom.nextInt(mNodes.size()));
+            node.mPausedUntil = mClock.instant().plusMillis(delay(12_000));
+        }
+        if (chance(mSettings.death())) {
+            int index = mRandom.nextInt(mNodes.size());
+            mNodes.get(index).mDead = true;
+            mNodes.set(index, freshNode());
+        }
+        if (chance(mSettings.restart())) {
+            List<String> names = mEngines.keySet().stream().sorted().toList();
+            SimulatedEngine engine = mEngines.get(names.get(mRandom.nextInt(names.size())));
+            if (engine.mAlive) {
+                engine.mAlive = false;
+                after(delay(4_000), engine::restart);
+            }
+        }
+        if (chance(mSettings.logOutage())) {
+            mLogBackAt = mClock.instant().plusMillis(delay(15_000));
+        }
+    }
+
+    private SimulatedNode freshNode() {
+        SimulatedNode node = new SimulatedNode(this);
+        node.mPlacement = mPlacements.apply(node);
+        if (mConfiguration != null) {
+            node.mPlacement.configuration(mConfiguration);
+        }
+        return node;
+    }
+
+    private void grantLeases() {
+        List<String> duties = new ArrayList<>(mEngines.keySet().stream().sorted().toList());
+        duties.add(PLANNING);
+        for (String duty : duties) {
+            Holder holder = mHolders.get(duty);
+            boolean lapsed = holder == null || !mClock.instant().isBefore(holder.lease().until());
+            boolean renews = !lapsed && holder.node().runsAt(mClock.instant());
+            if (renews) {
+                grant(duty, holder.node(), holder.lease().fencing());
+            } else if (lapsed) {
+                mFencing++;
+                grant(duty, mNodes.get(mRandom.nextInt(mNodes.size())), mFencing);
+            }
+        }
+    }
+
+    private void grant(String duty, SimulatedNode node, long fencing) {
+        if (!node.runsAt(mClock.instant())) {
+            return;
+        }
+        DutyLease lease = new DutyLease(fencing, mClock.instant().plus(LEASE));
+        mHolders.put(duty, new Holder(node, lease));
+        if (duty.equals(PLANNING)) {
+            node.mPlanning = lease;
+        } else {
+            node.grant(duty, lease);
+        }
+    }
+
+    private void readLog(SimulatedNode node) {
+        if (mClock.instant().isBefore(mLogBackAt) || chance(mSettings.lost())) {
+            return;
+        }
+        while (node.mNextRecord < mLog.size()) {
+            LogEntry entry = mLog.get(node.mNextRecord);
+            node.mNextRecord++;
+            node.mPlacement.record(entry.record(), entry.milliseconds());
+        }
+    }
+
+    private void poll(SimulatedNode node) {
+        if ((mSteps + mNodes.indexOf(node)) % POLL_STEPS != 0) {
+            return;
+        }
+        for (SimulatedEngine engine : mEngines.values()) {
+            boolean answers = engine.hasReport() && !chance(mSettings.lost());
+            node.mPlacement.live(engine.mName, engine.hasReport());
+            if (answers) {
+                LoadReport report = engine.report(mRandom.nextInt(10));
+                node.mPlacement.report(report);
+            }
+        }
+    }
+
+    private void arrive(SimulatedNode node, Order order, boolean[] closed) {
+        SimulatedEngine engine = mEngines.get(order.endpoint());
+        if (!engine.mAlive) {
+            return;
+        }
+        OrderAnswer answer =
+                engine.execute(
+                        order,
+                        mClock.millis() + delay(4_000),
+                        chance(mSettings.loadFailure()),
+                        () -> checkUnload(order));
+        boolean lost = chance(mSettings.lost());
+        if (!lost && !closed[0]) {
+            answer(node, order, answer, closed);
+        }
+    }
+
+    private void answer(SimulatedNode node, Order order, OrderAnswer answer, boolean[] closed) {
+        if (!closed[0]) {
+            closed[0] = true;
+            deliver(
+                    node,
+                    delay(100),
+                    () -> node.mPlacement.answered(order.endpoint(), order.orderId(), answer));
+        }
+    }
+
+    private void admit(OrderRecord record) {
+        mLog.add(new LogEntry(record, mClock.millis()));
+        if (record instanceof OrderRecord.OrderIntended intended && !intended.order().isLoad()) {
+            mWitnessedUnloads.merge(
+                    intended.order().orderId(),
+                    hasOtherCopy(intended.order()),
+                    (earlier, later) -> earlier);
+        }
+    }
+
+    private boolean hasOtherCopy(Order unload) {
+        return mEngines.values().stream()
+                .filter(engine -> !engine.mName.equals(unload.endpoint()))
+                .anyMatch(engine -> engine.serves(unload.artifact().model()));
+    }
+
+    private void checkUnload(Order unload) {
+        boolean matters = unload.artifact().isModel() && mListed.contains(unload.artifact().name());
+        if (matters && !hasOtherCopy(unload) && !mWitnessedUnloads.get(unload.orderId())) {
+            mViolations.add("last copy unloaded by " + unload);
+        }
+    }
+
+    private void checkMemory(SimulatedEngine engine) {
+        if (engine.usedBytes() > engine.mMemoryBytes) {
+            mViolations.add(
+                    engine.mName
+                            + " holds "
+                            + engine.usedBytes()
+                            + " of "
+                            + engine.mMemoryBytes
+                            + " bytes at "
+                            + mClock.millis());
+        }
+    }
+
+    private void deliver(SimulatedNode node, int milliseconds, Runnable action) {
+        after(
+                milliseconds,
+                () -> {
+                    if (node.mDead) {
+                        return;
+                    }
+                    if (node.runsAt(mClock.instant())) {
+                        action.run();
+                    } else {
+                        mEvents.add(new Event(node.mPausedUntil, mSequence++, action));
+                    }
+                });
+    }
+
+    private void after(int milliseconds, Runnable action) {
+        mEvents.add(new Event(mClock.instant().plusMillis(milliseconds), mSequence++, action));
+    }
+
+    private boolean chance(double share) {
+        return mFaultsAllowed && share > 0 && mRandom.nextDouble() < share;
+    }
+
+    private int delay(int milliseconds) {
+        return mRandom.nextInt(milliseconds) + 1;
+    }
+
+    private record Event(Instant due, long sequence, Runnable action) {}
+
+    private record Holder(SimulatedNode node, DutyLease lease) {}
+
+    private record LogEntry(OrderRecord record, long milliseconds) {}
+}
