--- a/placement/src/main/java/org/foxtailridge/placement/EndpointViews.java
+++ b/placement/src/main/java/org/foxtailridge/placement/EndpointViews.java
@@ -31,10 +31,11 @@
                 history.ledger().freeBytes(),
                 live && history.report().isPresent(),
                 leaves,
-                copies(history));
+                copies(history, true),
+                copies(history, false));
     }
 
-    private static List<Copy> copies(EndpointHistory history) {
+    private static List<Copy> copies(EndpointHistory history, boolean models) {
         Map<Artifact, CopyState> states = new LinkedHashMap<>();
         for (Order order : history.unresolved()) {
             if (order.isLoad()) {
@@ -47,7 +48,7 @@
         List<Copy> copies = new ArrayList<>();
         states.forEach(
                 (artifact, state) -> {
-                    if (artifact.isModel()) {
+                    if (artifact.isModel() == models) {
                         copies.add(new Copy(artifact, history.ledger().chargeOf(artifact), state));
                     }
                 });
--- a/placement/src/main/java/org/foxtailridge/placement/plan/EndpointView.java
+++ b/placement/src/main/java/org/foxtailridge/placement/plan/EndpointView.java
@@ -15,6 +15,7 @@
  * @param live whether it answers
  * @param leaving whether it is going out of service
  * @param copies models on it
+ * @param adapters adapters on it
  */
 public record EndpointView(
         String name,
@@ -25,20 +26,17 @@
         long freeBytes,
         boolean live,
         boolean leaving,
-        List<Copy> copies) {
-    /** Copies the list. */
+        List<Copy> copies,
+        List<Copy> adapters) {
+    /** Copies the lists. */
     public EndpointView {
         Objects.requireNonNull(name, "name");
         copies = List.copyOf(copies);
+        adapters = List.copyOf(adapters);
     }
 
     /** Returns whether models may be loaded on it. */
     public boolean takesWork() {
         return live && !leaving;
     }
-
-    /** Returns whether the endpoint has a copy of the model in any version and state. */
-    public boolean holds(String model) {
-        return copies.stream().anyMatch(copy -> copy.artifact().model().equals(model));
-    }
 }
--- a/placement/src/test/java/org/foxtailridge/placement/simulation/SimulatedNode.java
+++ b/placement/src/test/java/org/foxtailridge/placement/simulation/SimulatedNode.java
@@ -10,7 +10,7 @@
 import org.foxtailridge.placement.order.DutyLeases;
 import org.foxtailridge.placement.order.Order;
 import org.foxtailridge.placement.order.OrderRecord;
-import org.foxtailridge.placement.order.OrderRequest;
+import org.foxtailridge.protocol.placement.PlacementStep;
 
 /** A node of the simulation: its leases and its place in the log. */
 final class SimulatedNode implements DutyLeases, PlacementOutbox {
@@ -60,7 +60,7 @@
     }
 
     @Override
-    public void request(OrderRequest request) {
-        mSimulation.request(request);
+    public void forward(PlacementStep step) {
+        mSimulation.forward(step);
     }
 }
--- a/placement/src/test/java/org/foxtailridge/placement/simulation/Simulation.java
+++ b/placement/src/test/java/org/foxtailridge/placement/simulation/Simulation.java
@@ -23,7 +23,7 @@
 import org.foxtailridge.placement.order.OrderAnswer;
 import org.foxtailridge.placement.order.OrderRecord;
 import org.foxtailridge.placement.order.OrderRecordCodec;
-import org.foxtailridge.placement.order.OrderRequest;
+import org.foxtailridge.protocol.placement.PlacementStep;
 
 /** Nodes, engines, log and network in one thread; what fails is drawn from a seed. */
 public final class Simulation {
@@ -165,10 +165,10 @@
                 });
     }
 
-    void request(OrderRequest request) {
-        Holder holder = mHolders.get(request.endpoint());
+    void forward(PlacementStep step) {
+        Holder holder = mHolders.get(step.getEndpoint());
         if (holder != null && !chance(mSettings.lost())) {
-            deliver(holder.node(), delay(50), () -> holder.node().mPlacement.requested(request));
+            deliver(holder.node(), delay(50), () -> holder.node().mPlacement.step(step));
         }
     }
 
--- a/placement/src/test/java/org/foxtailridge/placement/simulation/SimulationTest.java
+++ b/placement/src/test/java/org/foxtailridge/placement/simulation/SimulationTest.java
@@ -12,7 +12,6 @@
 import org.foxtailridge.configuration.model.WeightStore;
 import org.foxtailridge.core.time.ManualClock;
 import org.foxtailridge.placement.Placement;
-import org.foxtailridge.placement.order.OrderSettings;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -39,7 +38,7 @@
                         seed,
                         settings,
                         clock,
-                        node -> Placement.create(node, node, OrderSettings.defaults(), clock));
+                        node -> Placement.builder(node, node, clock).build());
         Configuration.Builder configuration = Configuration.builder().offset(1);
         for (int index = 0; index < 3; index++) {
             String name = "engine-" + index;
