Choose endpoints by expected time to first token

Cause: round robin and least in flight know neither prefixes nor adapters, reports or distance, and give a failing endpoint as much as any. Change: ExpectedTimeRouter scores a bounded random sample plus endpoints believed to hold the prefix or the adapter; learns each endpoint's concurrency limit and speed; ejects outliers up to a share of the pool; ramps a returning endpoint.

--- a/routing/src/main/java/org/foxtailridge/routing/AttemptEnd.java
+++ b/routing/src/main/java/org/foxtailridge/routing/AttemptEnd.java
@@ -8,6 +8,8 @@
     CANCELLED,
     /** The endpoint said that it has not begun and won't. */
     NOT_STARTED,
+    /** No connection could be made, so that nothing was sent. */
+    UNREACHABLE,
     /** The connection broke, the answer was malformed or didn't arrive in time. */
     FAILED
 }
--- a/routing/src/main/java/org/foxtailridge/routing/RouteRequest.java
+++ b/routing/src/main/java/org/foxtailridge/routing/RouteRequest.java
@@ -32,6 +32,7 @@
     private final Optional<Instant> mDeadline;
     private final Set<EndpointName> mExcluded;
     private final boolean mIsolated;
+    private final boolean mBegun;
 
     private RouteRequest(Builder builder) {
         mRequestId = builder.mRequestId;
@@ -44,6 +45,7 @@
         mDeadline = builder.mDeadline;
         mExcluded = builder.mExcluded;
         mIsolated = builder.mIsolated;
+        mBegun = builder.mBegun;
     }
 
     /** Returns a builder for a request. */
@@ -62,6 +64,7 @@
         builder.mDeadline = mDeadline;
         builder.mExcluded = mExcluded;
         builder.mIsolated = mIsolated;
+        builder.mBegun = mBegun;
         return builder;
     }
 
@@ -115,6 +118,11 @@
         return mIsolated;
     }
 
+    /** Returns whether an earlier attempt may have begun, so that "not run" would be untrue. */
+    public boolean begun() {
+        return mBegun;
+    }
+
     /** Returns prompt and answer together, in tokens. */
     public int totalTokens() {
         return mPromptTokens + mMaximumTokens;
@@ -132,6 +140,7 @@
         private Optional<Instant> mDeadline = Optional.empty();
         private Set<EndpointName> mExcluded = Set.of();
         private boolean mIsolated;
+        private boolean mBegun;
 
         private Builder(String requestId, RouteTarget target) {
             mRequestId = Objects.requireNonNull(requestId, "requestId");
@@ -186,6 +195,12 @@
             return this;
         }
 
+        /** Sets whether an earlier attempt may have begun. */
+        public Builder begun(boolean begun) {
+            mBegun = begun;
+            return this;
+        }
+
         /** Returns the request. */
         public RouteRequest build() {
             return new RouteRequest(this);
--- a/routing/src/main/java/org/foxtailridge/routing/Router.java
+++ b/routing/src/main/java/org/foxtailridge/routing/Router.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.routing;
 
+import java.util.Set;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.core.name.EndpointName;
 
@@ -57,6 +58,9 @@
     /** Ends the count of an attempt. A second end of the same attempt is ignored. */
     void attemptEnded(String attemptId, AttemptEnd end);
 
+    /** Returns the names of the models and services that an endpoint can serve now. */
+    Set<String> targetsOn(EndpointName endpoint);
+
     /** Returns the attempts in flight that this router started on an endpoint. */
     int inFlight(EndpointName endpoint);
 }
--- a/routing/src/main/java/org/foxtailridge/routing/internal/DirectoryRouter.java
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/DirectoryRouter.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.name.EndpointName;
@@ -90,7 +91,11 @@
     public void attemptStarted(Attempt attempt) {
         EndpointEntry entry = mDirectory.find(attempt.endpoint());
         if (entry != null) {
-            mAttempts.start(attempt, entry, nowMilliseconds(), promptTokens(entry, attempt));
+            int promptTokens = promptTokens(entry, attempt);
+            double expected = expectedMilliseconds(entry, attempt);
+            mAttempts.start(
+                    new InFlightAttempts.InFlight(
+                            attempt, entry, nowMilliseconds(), promptTokens, expected));
         }
     }
 
@@ -110,6 +115,12 @@
         }
     }
 
+    @Override
+    public final Set<String> targetsOn(EndpointName endpoint) {
+        EndpointEntry entry = mDirectory.find(endpoint);
+        return entry == null ? Set.of() : mDirectory.targetsOn(entry);
+    }
+
     @Override
     public final int inFlight(EndpointName endpoint) {
         EndpointEntry entry = mDirectory.find(endpoint);
@@ -121,6 +132,11 @@
         return attempt.request().promptTokens();
     }
 
+    /** Returns the expected time to the first token, in milliseconds; 0 when it isn't estimated. */
+    protected double expectedMilliseconds(EndpointEntry entry, Attempt attempt) {
+        return 0;
+    }
+
     /** Called once for each attempt at its first token. */
     protected void onFirstToken(InFlightAttempts.InFlight inFlight) {}
 
@@ -141,7 +157,8 @@
     protected final RoutingDecision dispatch(
             EndpointEntry entry, RouteRequest request, double expectedMilliseconds) {
         String version = mDirectory.versionOn(entry, request.target());
-        return new RoutingDecision.Dispatch(entry.name(), version, expectedMilliseconds);
+        boolean fetch = !mDirectory.holdsAdapter(entry, request.target());
+        return new RoutingDecision.Dispatch(entry.name(), version, expectedMilliseconds, fetch);
     }
 
     /** Returns a refusal. */
--- a/routing/src/main/java/org/foxtailridge/routing/internal/EndpointDirectory.java
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/EndpointDirectory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.configuration.model.Endpoint;
 import org.foxtailridge.configuration.model.EndpointKind;
@@ -49,6 +50,33 @@
         return under(new AdapterKey(model, adapter));
     }
 
+    /** Returns whether an endpoint holds the adapter of a target; true when it names none. */
+    public boolean holdsAdapter(EndpointEntry entry, RouteTarget target) {
+        if (!(target instanceof RouteTarget.ModelTarget model) || model.adapter().isEmpty()) {
+            return true;
+        }
+        return entry.keys().contains(new AdapterKey(model.name(), model.adapter().get()));
+    }
+
+    /** Returns the names of the models and services that an endpoint can serve now. */
+    public Set<String> targetsOn(EndpointEntry entry) {
+        Set<String> targets = new HashSet<>();
+        for (CandidateKey key : entry.keys()) {
+            if (key instanceof AnyVersionKey model) {
+                targets.add(model.model());
+            }
+            if (key instanceof PoolKey pool) {
+                mPoolOfService.forEach(
+                        (service, named) -> {
+                            if (named.equals(pool.pool())) {
+                                targets.add(service);
+                            }
+                        });
+            }
+        }
+        return targets;
+    }
+
     /** Returns whether the target is being loaded somewhere. */
     public boolean isLoading(RouteTarget target) {
         return !under(new LoadingKey(target.name())).isEmpty();
@@ -69,6 +97,20 @@
                 .orElse(model.version());
     }
 
+    /** Returns whether an endpoint can serve a target now, in any version. */
+    public boolean canServe(EndpointEntry entry, RouteTarget target) {
+        if (target instanceof RouteTarget.ModelTarget model) {
+            return entry.keys().contains(new AnyVersionKey(model.name()));
+        }
+        String pool = mPoolOfService.get(target.name());
+        return pool != null && entry.keys().contains(new PoolKey(pool));
+    }
+
+    /** Calls the action with each endpoint listed. */
+    public void forEach(Consumer<EndpointEntry> action) {
+        mEntries.values().forEach(action);
+    }
+
     /** Returns the number of endpoints listed. */
     public int size() {
         return mEntries.size();
--- a/routing/src/main/java/org/foxtailridge/routing/internal/EndpointEntry.java
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/EndpointEntry.java
@@ -10,6 +10,10 @@
 public final class EndpointEntry {
     private final EndpointName mName;
     private final InFlightHistory mHistory = new InFlightHistory();
+    private final ConcurrencyLimit mLimit = new ConcurrencyLimit();
+    private final EndpointHealth mHealth = new EndpointHealth();
+    private final SpeedEstimate mSpeed = new SpeedEstimate();
+    private final CacheFeed mCacheFeed = new CacheFeed();
     private Endpoint mListing;
     private EndpointState mState = EndpointState.UP;
     private LoadReport mReport;
@@ -34,6 +38,26 @@
         return mListing;
     }
 
+    /** Returns how many attempts it is thought to run at once. */
+    public ConcurrencyLimit limit() {
+        return mLimit;
+    }
+
+    /** Returns its failures, ejections and ramp. */
+    public EndpointHealth health() {
+        return mHealth;
+    }
+
+    /** Returns how slow it is beside the settings. */
+    public SpeedEstimate speed() {
+        return mSpeed;
+    }
+
+    /** Returns the position in its cache events. */
+    public CacheFeed cacheFeed() {
+        return mCacheFeed;
+    }
+
     /** Returns attempts in flight that this node started. */
     public int inFlight() {
         return mInFlight;
--- a/routing/src/main/java/org/foxtailridge/routing/internal/InFlightAttempts.java
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/InFlightAttempts.java
@@ -9,10 +9,13 @@
     private final Map<String, InFlight> mAttempts = new HashMap<>();
 
     /** Counts an attempt; does nothing when it is counted already. */
-    public void start(Attempt attempt, EndpointEntry entry, long now, int promptTokens) {
-        InFlight inFlight = new InFlight(attempt, entry, now, promptTokens);
+    public void start(InFlight inFlight) {
+        Attempt attempt = inFlight.mAttempt;
         if (mAttempts.putIfAbsent(attempt.attemptId(), inFlight) == null) {
-            entry.started(now, promptTokens, attempt.request().isolated());
+            inFlight.mEntry.started(
+                    inFlight.mStartedMilliseconds,
+                    inFlight.mPromptTokens,
+                    attempt.request().isolated());
         }
     }
 
@@ -51,13 +54,29 @@
         private final EndpointEntry mEntry;
         private final long mStartedMilliseconds;
         private final int mPromptTokens;
+        private final double mExpectedMilliseconds;
         private boolean mFirstToken;
 
-        private InFlight(Attempt attempt, EndpointEntry entry, long now, int promptTokens) {
+        /**
+         * Creates an attempt that starts now.
+         *
+         * @param attempt the attempt
+         * @param entry the endpoint that it runs on
+         * @param now instant, in milliseconds since the epoch
+         * @param promptTokens prompt tokens that the endpoint is thought to compute
+         * @param expectedMilliseconds expected time to the first token, in milliseconds
+         */
+        public InFlight(
+                Attempt attempt,
+                EndpointEntry entry,
+                long now,
+                int promptTokens,
+                double expectedMilliseconds) {
             mAttempt = attempt;
             mEntry = entry;
             mStartedMilliseconds = now;
             mPromptTokens = promptTokens;
+            mExpectedMilliseconds = expectedMilliseconds;
         }
 
         /** Returns the attempt. */
@@ -75,6 +94,11 @@
             return mStartedMilliseconds;
         }
 
+        /** Returns the expected time to the first token, in milliseconds. */
+        public double expectedMilliseconds() {
+            return mExpectedMilliseconds;
+        }
+
         /** Returns the prompt tokens that the endpoint is thought to compute. */
         public int promptTokens() {
             return mPromptTokens;
--- a/routing/src/test/java/org/foxtailridge/routing/BaselineRouterTest.java
+++ b/routing/src/test/java/org/foxtailridge/routing/RouterTest.java
@@ -17,12 +17,17 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Checks what every router does alike. */
-class BaselineRouterTest {
+class RouterTest {
     private static final EndpointName FIRST = EndpointName.of("engine-1");
     private static final EndpointName SECOND = EndpointName.of("engine-2");
 
     static Stream<Function<ManualClock, Router>> routers() {
-        return Stream.of(RoundRobinRouter::create, LeastInFlightRouter::create);
+        return Stream.of(
+                RoundRobinRouter::create,
+                LeastInFlightRouter::create,
+                clock ->
+                        ExpectedTimeRouter.create(
+                                clock, RoutingSettings.builder("lautoka-a").build(), 1));
     }
 
     @ParameterizedTest
@@ -34,8 +39,10 @@
         router.loadReported(SECOND, report(1, ResidentState.RESIDENT));
         router.loadReported(FIRST, report(1, ResidentState.LOADING));
         // THEN
-        assertThat(router.choose(request()))
-                .isEqualTo(new RoutingDecision.Dispatch(SECOND, "v1", 0));
+        RoutingDecision.Dispatch dispatch = (RoutingDecision.Dispatch) router.choose(request());
+        assertThat(dispatch.endpoint()).isEqualTo(SECOND);
+        assertThat(dispatch.version()).isEqualTo("v1");
+        assertThat(dispatch.fetchAdapter()).isFalse();
     }
 
     @ParameterizedTest
