--- a/routing/src/main/java/org/foxtailridge/routing/RouteRequest.java
+++ b/routing/src/main/java/org/foxtailridge/routing/RouteRequest.java
@@ -33,6 +33,7 @@
     private final Set<EndpointName> mExcluded;
     private final boolean mIsolated;
     private final boolean mBegun;
+    private final int mPreemptions;
 
     private RouteRequest(Builder builder) {
         mRequestId = builder.mRequestId;
@@ -46,6 +47,7 @@
         mExcluded = builder.mExcluded;
         mIsolated = builder.mIsolated;
         mBegun = builder.mBegun;
+        mPreemptions = builder.mPreemptions;
     }
 
     /** Returns a builder for a request. */
@@ -65,6 +67,7 @@
         builder.mExcluded = mExcluded;
         builder.mIsolated = mIsolated;
         builder.mBegun = mBegun;
+        builder.mPreemptions = mPreemptions;
         return builder;
     }
 
@@ -123,6 +126,25 @@
         return mBegun;
     }
 
+    /** Returns how often it was cancelled to make room. */
+    public int preemptions() {
+        return mPreemptions;
+    }
+
+    /**
+     * Returns the rest of this request after an attempt was cancelled to make room.
+     *
+     * @param generatedTokens tokens of the answer that are kept and repeated as part of the prompt
+     */
+    public RouteRequest afterPreemption(int generatedTokens) {
+        Builder rest = toBuilder();
+        rest.mPromptTokens = mPromptTokens + generatedTokens;
+        rest.mMaximumTokens = Math.max(0, mMaximumTokens - generatedTokens);
+        rest.mPreemptions = mPreemptions + 1;
+        rest.mBegun = true;
+        return rest.build();
+    }
+
     /** Returns prompt and answer together, in tokens. */
     public int totalTokens() {
         return mPromptTokens + mMaximumTokens;
@@ -141,6 +163,7 @@
         private Set<EndpointName> mExcluded = Set.of();
         private boolean mIsolated;
         private boolean mBegun;
+        private int mPreemptions;
 
         private Builder(String requestId, RouteTarget target) {
             mRequestId = Objects.requireNonNull(requestId, "requestId");
--- /dev/null
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/FairQueue.java
@@ -0,0 +1,160 @@
+package org.foxtailridge.routing.queue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+import org.foxtailridge.configuration.model.WorkClass;
+
+/**
+ * The bounded queue of one model or service.
+ *
+ * <p>Interactive work goes first, then work that must complete, then work due by a time. Urgent
+ * batch work takes turns with interactive work. Inside a class client accounts have fair shares.
+ * When the queue is full, the account with the most tokens waiting loses its newest request.
+ */
+final class FairQueue {
+    private static final WorkClass[] CLASSES = WorkClass.values();
+
+    private final QueueSettings mSettings;
+    private final Map<WorkClass, FairLane> mLanes = new EnumMap<>(WorkClass.class);
+    private final DepartureRate mRate = new DepartureRate();
+    private boolean mUrgentWasLast;
+
+    FairQueue(QueueSettings settings, ToDoubleFunction<String> weights, AccountOrder order) {
+        mSettings = settings;
+        for (WorkClass workClass : CLASSES) {
+            mLanes.put(workClass, new FairLane(weights, order));
+        }
+    }
+
+    int size() {
+        int size = 0;
+        for (FairLane lane : mLanes.values()) {
+            size += lane.size();
+        }
+        return size;
+    }
+
+    /** Returns whether any account's share is remembered. */
+    boolean hasAccounts() {
+        return mLanes.values().stream().anyMatch(lane -> !lane.accounts().isEmpty());
+    }
+
+    int interactiveSize() {
+        return mLanes.get(WorkClass.INTERACTIVE).size();
+    }
+
+    /**
+     * Adds a request. Returns the request that must give way when the bound is passed, which may be
+     * the one added; a request that has begun never gives way.
+     */
+    Optional<QueuedRequest> add(QueuedRequest queued) {
+        lane(queued).add(queued);
+        if (size() <= mSettings.maximumPerTarget()) {
+            return Optional.empty();
+        }
+        Optional<QueuedRequest> victim = newestOfLargest(queued);
+        victim.ifPresent(this::remove);
+        return victim;
+    }
+
+    /** Returns the requests to try, in order; at most one for each account and class. */
+    List<QueuedRequest> heads(long now) {
+        List<QueuedRequest> interactive = mLanes.get(WorkClass.INTERACTIVE).heads();
+        List<QueuedRequest> urgent = new ArrayList<>();
+        List<QueuedRequest> spare = new ArrayList<>();
+        for (WorkClass workClass : List.of(WorkClass.MUST_COMPLETE, WorkClass.DUE_BY)) {
+            for (QueuedRequest head : mLanes.get(workClass).heads()) {
+                (head.isUrgent(mSettings, now) ? urgent : spare).add(head);
+            }
+        }
+        List<QueuedRequest> heads = new ArrayList<>();
+        heads.addAll(mUrgentWasLast ? interactive : urgent);
+        heads.addAll(mUrgentWasLast ? urgent : interactive);
+        heads.addAll(spare);
+        return heads;
+    }
+
+    /** Removes a request that is sent to an endpoint. */
+    void serve(QueuedRequest queued, long now) {
+        lane(queued).serve(queued);
+        mUrgentWasLast = queued.isUrgent(mSettings, now);
+        mRate.left(queued.tokens(), now);
+    }
+
+    boolean remove(QueuedRequest queued) {
+        return lane(queued).remove(queued);
+    }
+
+    void settle(WorkClass workClass, String account, long correctionTokens) {
+        mLanes.get(workClass).settle(account, correctionTokens);
+    }
+
+    /** Notes whether requests are left waiting. */
+    void noteBacklog(long now) {
+        mRate.backlog(size() > 0, now);
+    }
+
+    /** Returns the requests past their deadlines that have not begun. */
+    List<QueuedRequest> expired(long now) {
+        List<QueuedRequest> expired = new ArrayList<>();
+        for (FairLane lane : mLanes.values()) {
+            for (AccountQueue account : lane.accounts()) {
+                for (QueuedRequest queued : account.requests()) {
+                    if (!queued.mayNotBeRefused() && queued.deadlineMilliseconds() <= now) {
+                        expired.add(queued);
+                    }
+                }
+            }
+        }
+        return expired;
+    }
+
+    /** Returns the expected wait of the newest request of an account, in milliseconds. */
+    double expectedWaitMilliseconds(QueuedRequest queued, long now) {
+        double ahead = lane(queued).tokensAhead(queued.account()) - queued.tokens();
+        for (WorkClass workClass : CLASSES) {
+            if (workClass.compareTo(queued.request().workClass()) < 0) {
+                ahead += mLanes.get(workClass).tokens();
+            }
+        }
+        return mRate.milliseconds(Math.max(0, ahead), now);
+    }
+
+    private FairLane lane(QueuedRequest queued) {
+        return mLanes.get(queued.request().workClass());
+    }
+
+    /** Returns the newest request of the largest account in the least urgent class. */
+    private Optional<QueuedRequest> newestOfLargest(QueuedRequest added) {
+        for (int index = CLASSES.length - 1; index >= 0; index--) {
+            if (CLASSES[index].compareTo(added.request().workClass()) < 0) {
+                break;
+            }
+            Optional<QueuedRequest> victim = newestOfLargest(mLanes.get(CLASSES[index]));
+            if (victim.isPresent()) {
+                return victim;
+            }
+        }
+        return added.mayNotBeRefused() ? Optional.empty() : Optional.of(added);
+    }
+
+    private static Optional<QueuedRequest> newestOfLargest(FairLane lane) {
+        return lane.accounts().stream()
+                .filter(FairQueue::hasRefusable)
+                .max(
+                        Comparator.<AccountQueue>comparingDouble(
+                                        account -> account.tokens() / account.weight())
+                                .thenComparing(AccountQueue::account))
+                .map(account -> account.requests().peekLast());
+    }
+
+    private static boolean hasRefusable(AccountQueue account) {
+        QueuedRequest newest = account.requests().peekLast();
+        return newest != null && !newest.mayNotBeRefused();
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/LeastServedOrder.java
@@ -0,0 +1,19 @@
+package org.foxtailridge.routing.queue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Serves the client account first that was served the fewest tokens for its weight. */
+final class LeastServedOrder implements AccountOrder {
+    private static final Comparator<AccountQueue> LEAST_SERVED =
+            Comparator.comparingDouble(AccountQueue::servedForWeight)
+                    .thenComparing(AccountQueue::account);
+
+    @Override
+    public List<AccountQueue> order(List<AccountQueue> waiting) {
+        List<AccountQueue> ordered = new ArrayList<>(waiting);
+        ordered.sort(LEAST_SERVED);
+        return ordered;
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/foxtailridge/routing/Fleets.java
@@ -0,0 +1,35 @@
+package org.foxtailridge.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailridge.configuration.model.Endpoint;
+import org.foxtailridge.configuration.model.EndpointKind;
+
+/** Endpoints, reports and requests for tests. */
+public final class Fleets {
+    private Fleets() {}
+
+    /** Returns a listed engine. */
+    public static Endpoint engine(String name, String pool, String dataCentre) {
+        return new Endpoint(
+                name, EndpointKind.ENGINE, pool, dataCentre, "http://e", 1, 1, true, false);
+    }
+
+    /** Returns a report of an engine that holds version v1 of the models. */
+    public static LoadReport report(
+            long incarnation, long asOf, int running, int waiting, List<String> models) {
+        List<Resident> residents = new ArrayList<>();
+        models.forEach(model -> residents.add(Resident.model(model, "v1")));
+        return new LoadReport(
+                incarnation, asOf, running, waiting, 1, 0, EngineRole.BOTH, false, residents);
+    }
+
+    /** Returns a builder of a request for version v1 of a model. */
+    public static RouteRequest.Builder request(String requestId, String model) {
+        return RouteRequest.builder(
+                        requestId, new RouteTarget.ModelTarget(model, "v1", Optional.empty()))
+                .promptTokens(100)
+                .maximumTokens(20);
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/foxtailridge/routing/queue/NaiveQueue.java
@@ -0,0 +1,71 @@
+package org.foxtailridge.routing.queue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+import org.foxtailridge.configuration.model.WorkClass;
+
+/** One list of all requests; finds the next by looking at every one of them. */
+final class NaiveQueue {
+    private final List<QueuedRequest> mRequests = new ArrayList<>();
+    private final Map<String, Double> mServed = new HashMap<>();
+    private final Map<WorkClass, Double> mFloors = new HashMap<>();
+    private final ToDoubleFunction<String> mWeights;
+
+    NaiveQueue(ToDoubleFunction<String> weights) {
+        mWeights = weights;
+    }
+
+    void add(QueuedRequest queued) {
+        WorkClass workClass = queued.request().workClass();
+        boolean idle = mRequests.stream().noneMatch(other -> sameShare(other, queued));
+        if (idle) {
+            double floor = mFloors.getOrDefault(workClass, 0.0);
+            mServed.merge(share(queued), floor, Math::max);
+        }
+        mRequests.add(queued.mayNotBeRefused() ? 0 : mRequests.size(), queued);
+    }
+
+    Optional<QueuedRequest> next() {
+        return mRequests.stream()
+                .filter(this::isFirstOfShare)
+                .min(
+                        Comparator.<QueuedRequest, WorkClass>comparing(
+                                        queued -> queued.request().workClass())
+                                .thenComparing(queued -> mServed.get(share(queued)))
+                                .thenComparing(QueuedRequest::account));
+    }
+
+    void serve(QueuedRequest queued) {
+        mRequests.remove(queued);
+        double before = mServed.get(share(queued));
+        mFloors.merge(queued.request().workClass(), before, Math::max);
+        mServed.put(share(queued), before + queued.tokens() / weight(queued));
+    }
+
+    void settle(QueuedRequest queued, long correction) {
+        mServed.computeIfPresent(
+                share(queued), (unused, served) -> served + correction / weight(queued));
+    }
+
+    private double weight(QueuedRequest queued) {
+        return mWeights.applyAsDouble(queued.account());
+    }
+
+    private boolean isFirstOfShare(QueuedRequest queued) {
+        return mRequests.stream().filter(other -> sameShare(other, queued)).findFirst().get()
+                == queued;
+    }
+
+    private static boolean sameShare(QueuedRequest one, QueuedRequest other) {
+        return share(one).equals(share(other));
+    }
+
+    private static String share(QueuedRequest queued) {
+        return queued.request().workClass() + "/" + queued.account();
+    }
+}
