--- a/routing/src/main/java/org/foxtailridge/routing/RouteRequest.java
+++ b/routing/src/main/java/org/foxtailridge/routing/RouteRequest.java
@@ -32,6 +32,8 @@
     private final Optional<Instant> mDeadline;
     private final Set<EndpointName> mExcluded;
     private final boolean mIsolated;
+    private final boolean mBegun;
+    private final int mPreemptions;
 
     private RouteRequest(Builder builder) {
         mRequestId = builder.mRequestId;
@@ -44,6 +46,8 @@
         mDeadline = builder.mDeadline;
         mExcluded = builder.mExcluded;
         mIsolated = builder.mIsolated;
+        mBegun = builder.mBegun;
+        mPreemptions = builder.mPreemptions;
     }
 
     /** Returns a builder for a request. */
@@ -62,6 +66,8 @@
         builder.mDeadline = mDeadline;
         builder.mExcluded = mExcluded;
         builder.mIsolated = mIsolated;
+        builder.mBegun = mBegun;
+        builder.mPreemptions = mPreemptions;
         return builder;
     }
 
@@ -115,6 +121,30 @@
         return mIsolated;
     }
 
+    /** Returns whether an earlier attempt may have begun, so that "not run" would be untrue. */
+    public boolean begun() {
+        return mBegun;
+    }
+
+    /** Returns how often it was cancelled to make room. */
+    public int preemptions() {
+        return mPreemptions;
+    }
+
+    /**
+     * Returns the rest of this request after an attempt was cancelled to make room.
+     *
+     * @param generatedTokens tokens of the answer that are kept and repeated as part of the prompt
+     */
+    public RouteRequest afterPreemption(int generatedTokens) {
+        Builder rest = toBuilder();
+        rest.mPromptTokens = mPromptTokens + generatedTokens;
+        rest.mMaximumTokens = Math.max(0, mMaximumTokens - generatedTokens);
+        rest.mPreemptions = mPreemptions + 1;
+        rest.mBegun = true;
+        return rest.build();
+    }
+
     /** Returns prompt and answer together, in tokens. */
     public int totalTokens() {
         return mPromptTokens + mMaximumTokens;
@@ -132,6 +162,8 @@
         private Optional<Instant> mDeadline = Optional.empty();
         private Set<EndpointName> mExcluded = Set.of();
         private boolean mIsolated;
+        private boolean mBegun;
+        private int mPreemptions;
 
         private Builder(String requestId, RouteTarget target) {
             mRequestId = Objects.requireNonNull(requestId, "requestId");
@@ -186,6 +218,12 @@
             return this;
         }
 
+        /** Sets whether an earlier attempt may have begun. */
+        public Builder begun(boolean begun) {
+            mBegun = begun;
+            return this;
+        }
+
         /** Returns the request. */
         public RouteRequest build() {
             return new RouteRequest(this);
