--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/ConfigurationEditTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/ConfigurationEditTest.java
@@ -12,6 +12,7 @@
 import org.foxtailridge.endtoend.harness.CallerAnswer;
 import org.foxtailridge.endtoend.harness.CompletionBody;
 import org.foxtailridge.endtoend.harness.Fleet;
+import org.foxtailridge.endtoend.harness.LiveStream;
 import org.foxtailridge.endtoend.harness.NodeProcess;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +23,8 @@
     private static final Duration IN_FORCE = Duration.ofSeconds(13);
     private static final String OTHER_KEY = "fr_other_0123456789abcdef-other";
 
+    private static final CompletionBody LONG_STREAM = CompletionBody.streamed("long", 400);
+
     private Fleet mFleet;
 
     @BeforeEach
@@ -43,11 +46,10 @@
     void should_refuse_a_withdrawn_key_everywhere_and_end_its_streams() {
         // GIVEN
         mFleet.awaitInForce(mFleet.operator().set(Fleet.key(OTHER_KEY, "auctions")));
-        List<CompletableFuture<CallerAnswer>> streams =
+        List<LiveStream> streams =
                 mFleet.nodes().stream()
-                        .map(node -> stream(node, OTHER_KEY, "a long stream", 400))
+                        .map(node -> mFleet.client().open(node, OTHER_KEY, LONG_STREAM).join())
                         .toList();
-        await().until(() -> runningOnAllNodes());
         // WHEN
         mFleet.operator().remove(EntryKind.KEY, "other");
         // THEN
@@ -56,8 +58,8 @@
                     .until(() -> stream(node, OTHER_KEY, "short", 1).join().status() == 401);
             assertThat(stream(node, Fleet.LARGE_KEY, "short", 1).join().status()).isEqualTo(200);
         }
-        for (CompletableFuture<CallerAnswer> stream : streams) {
-            List<String> events = stream.join().events();
+        for (LiveStream stream : streams) {
+            List<String> events = stream.rest().events();
             assertThat(events).last().asString().contains("key_withdrawn");
             assertThat(events).doesNotContain("[DONE]");
         }
@@ -102,12 +104,6 @@
         }
     }
 
-    private boolean runningOnAllNodes() {
-        return mFleet.nodes().stream()
-                .allMatch(
-                        node -> mFleet.client().status(node).path("running_requests").asInt() > 0);
-    }
-
     private CompletableFuture<CallerAnswer> stream(
             NodeProcess node, String key, String prompt, int tokens) {
         CompletionBody body = CompletionBody.streamed(prompt, tokens);
--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/CallerClient.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/CallerClient.java
@@ -23,6 +23,18 @@
         return post(node.callers() + "/v1/completions", key, Json.write(body), Map.of());
     }
 
+    /** Opens a stream; the future completes when the first token arrives. */
+    public CompletableFuture<LiveStream> open(NodeProcess node, String key, CompletionBody body) {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create(node.callers() + "/v1/completions"))
+                        .header("Content-Type", "application/json")
+                        .header("Authorization", "Bearer " + key)
+                        .POST(HttpRequest.BodyPublishers.ofString(Json.write(body)))
+                        .build();
+        return mClient.sendAsync(request, HttpResponse.BodyHandlers.ofLines())
+                .thenApply(LiveStream::new);
+    }
+
     /** Posts a body with further headers; an empty key leaves the authorization out. */
     public CompletableFuture<CallerAnswer> post(
             String address, String key, String body, Map<String, String> headers) {
--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -13,7 +13,9 @@
 import org.foxtailridge.node.duty.ConfigurationDuty;
 import org.foxtailridge.node.duty.DutyTimer;
 import org.foxtailridge.node.duty.LimitsDuty;
+import org.foxtailridge.node.duty.MembershipDuty;
 import org.foxtailridge.node.duty.NodeState;
+import org.foxtailridge.node.duty.QuarantineDuty;
 import org.foxtailridge.node.duty.ReportsDuty;
 import org.foxtailridge.node.duty.RoutingDuty;
 import org.foxtailridge.node.operator.OperatorServer;
@@ -56,6 +58,8 @@
             LimitsDuty limits,
             RoutingDuty routing,
             ReportsDuty reports,
+            QuarantineDuty quarantine,
+            MembershipDuty membership,
             RunningRequests running,
             NodeState state,
             StatusReport status,
@@ -71,7 +75,7 @@
         mState = state;
         mStatus = status;
         mTimer = timer;
-        mDuties = List.of(configuration, reports, routing, limits);
+        mDuties = List.of(configuration, reports, routing, quarantine, membership, limits);
         mClients = List.of(controlClient, endpointClient);
     }
 
--- a/node/src/main/java/org/foxtailridge/node/NodeModule.java
+++ b/node/src/main/java/org/foxtailridge/node/NodeModule.java
@@ -7,10 +7,13 @@
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.Objects;
 import javax.inject.Named;
 import javax.inject.Singleton;
 import org.eclipse.jetty.client.HttpClient;
 import org.foxtailridge.core.time.MonotonicClock;
+import org.foxtailridge.execution.retry.RetryPolicy;
+import org.foxtailridge.execution.retry.RetrySettings;
 import org.foxtailridge.limits.TokenLimiter;
 import org.foxtailridge.limits.baseline.EqualSplitLimiter;
 import org.foxtailridge.node.duty.PeerMessages;
@@ -27,8 +30,9 @@
 import org.foxtailridge.platform.service.ServiceClient;
 import org.foxtailridge.platform.vm.HttpVmList;
 import org.foxtailridge.platform.vm.VmList;
-import org.foxtailridge.routing.LeastInFlightRouter;
+import org.foxtailridge.routing.ExpectedTimeRouter;
 import org.foxtailridge.routing.Router;
+import org.foxtailridge.routing.RoutingSettings;
 
 /** Provides what a node is made of. */
 @Module
@@ -118,8 +122,15 @@
 
     @Provides
     @Singleton
-    static Router router(Clock clock) {
-        return LeastInFlightRouter.create(clock);
+    static Router router(NodeSettings settings, PeerIdentity identity, Clock clock) {
+        RoutingSettings routing = RoutingSettings.builder(settings.dataCentre().value()).build();
+        return ExpectedTimeRouter.create(clock, routing, seedOf(identity));
+    }
+
+    @Provides
+    @Singleton
+    static RetryPolicy retries(PeerIdentity identity, Clock clock) {
+        return RetryPolicy.create(clock, RetrySettings.builder().build(), seedOf(identity));
     }
 
     @Provides
@@ -127,4 +138,9 @@
     static PrometheusMeterRegistry metrics() {
         return new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     }
+
+    /** Seeds differ between nodes and between their starts. */
+    private static long seedOf(PeerIdentity identity) {
+        return Objects.hash(identity.name(), identity.incarnation());
+    }
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionFailedException.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionFailedException.java
@@ -15,13 +15,16 @@
                 "expected an answer from endpoint " + endpoint + " but was " + reason);
     }
 
-    static CompletionFailedException midway(int tokens, String reason) {
+    /** Returns the failure of a kind after a number of tokens. */
+    static CompletionFailedException of(ErrorKind kind, int tokens) {
         return new CompletionFailedException(
-                ErrorKind.STREAM_BROKEN,
-                "expected the whole answer but it broke off after "
-                        + tokens
-                        + " tokens: "
-                        + reason);
+                kind, "expected the whole answer but it broke off after " + tokens + " tokens");
+    }
+
+    /** Returns the failure of a call of a plain service. */
+    static CompletionFailedException ofService(ErrorKind kind, String service) {
+        return new CompletionFailedException(
+                kind, "expected an answer of service " + service + " but no attempt gave one");
     }
 
     static CompletionFailedException keyWithdrawn(boolean ran) {
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
@@ -5,6 +5,7 @@
 import javax.inject.Singleton;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.core.error.FoxtailridgeException;
+import org.foxtailridge.execution.quarantine.Fingerprint;
 
 /** Serves {@code POST /v1/completions} and {@code POST /v1/chat/completions}. */
 @Singleton
@@ -41,7 +42,7 @@
             Configuration configuration = mServices.configuration().current();
             ModelChoice choice = ModelChoice.find(configuration, caller, request.model());
             requireContext(choice, request);
-            run(exchange, caller, request, choice).start();
+            run(exchange, caller, request, choice, body).start();
         } catch (FoxtailridgeException refusal) {
             exchange.fail(refusal);
         }
@@ -58,7 +59,11 @@
     }
 
     private CompletionRun run(
-            CallerExchange exchange, Caller caller, CompletionRequest request, ModelChoice choice) {
+            CallerExchange exchange,
+            Caller caller,
+            CompletionRequest request,
+            ModelChoice choice,
+            byte[] body) {
         AnswerHead head =
                 new AnswerHead(
                         request.shape(),
@@ -69,6 +74,7 @@
                 request.stream()
                         ? new StreamedAnswerSink(exchange, head)
                         : new WholeAnswerSink(exchange, head);
-        return new CompletionRun(mServices, exchange, caller, request, choice, sink);
+        Fingerprint fingerprint = Fingerprint.of(caller.clientAccount(), request.model(), body);
+        return new CompletionRun(mServices, exchange, caller, request, choice, sink, fingerprint);
     }
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
@@ -1,35 +1,47 @@
 package org.foxtailridge.node.caller;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.foxtailridge.configuration.model.Endpoint;
+import org.foxtailridge.configuration.model.WorkClass;
+import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.name.ClientAccountName;
 import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.execution.quarantine.Fingerprint;
+import org.foxtailridge.execution.retry.AttemptProgress;
+import org.foxtailridge.execution.retry.FailedAttempt;
+import org.foxtailridge.execution.retry.RetryDecision;
+import org.foxtailridge.execution.stream.AnswerStream;
+import org.foxtailridge.execution.stream.StreamStep;
+import org.foxtailridge.execution.stream.TokenEvent;
 import org.foxtailridge.limits.Reservation;
+import org.foxtailridge.node.duty.DispatchListener;
 import org.foxtailridge.platform.engine.AttemptIdentity;
-import org.foxtailridge.platform.engine.CompletionCall;
-import org.foxtailridge.platform.engine.CompletionListener;
-import org.foxtailridge.platform.engine.CompletionStream;
 import org.foxtailridge.platform.engine.CompletionToken;
 import org.foxtailridge.platform.engine.Usage;
+import org.foxtailridge.routing.Attempt;
 import org.foxtailridge.routing.AttemptEnd;
-import org.foxtailridge.routing.EnginePriority;
 import org.foxtailridge.routing.RouteRequest;
 import org.foxtailridge.routing.RouteTarget;
 import org.foxtailridge.routing.RoutingDecision;
 
 /**
- * One completion from admission to the last byte: reserves tokens, chooses an endpoint, passes
- * tokens on in order, tries another endpoint while the caller has seen nothing, and settles.
+ * One completion from admission to the last byte: reserves tokens, waits for an endpoint, passes
+ * tokens on in order, resumes or tries again where that is safe, and settles.
+ *
+ * <p>All events run one after the other through {@link #run}.
  */
-final class CompletionRun implements RunningRequest, CompletionListener {
+final class CompletionRun implements RunningRequest, DispatchListener {
     private static final Logger LOGGER = LogManager.getLogger(CompletionRun.class);
-    private static final int MAXIMUM_ATTEMPTS = 3;
+    private static final Duration RETRY_PATIENCE = Duration.ofSeconds(10);
+    private static final int MAXIMUM_RESUMES = 3;
+    private static final int MAXIMUM_KEPT_CHARACTERS = 1 << 20;
 
     private final CompletionServices mServices;
     private final CallerExchange mExchange;
@@ -37,15 +49,25 @@
     private final CompletionRequest mRequest;
     private final ModelChoice mChoice;
     private final AnswerSink mSink;
-    private final AtomicBoolean mEnded = new AtomicBoolean();
+    private final CompletionCalls mCalls;
+    private final AnswerTimes mTimes;
+    private final AnswerStream mStream;
+    private final Fingerprint mFingerprint;
+    private final String mRunId;
+    private final SerializedInvoker mInvoker = new SerializedInvoker(CompletionRun.class);
     private final Set<EndpointName> mExcluded = new HashSet<>();
-    private volatile Reservation mReservation;
-    private volatile AttemptIdentity mAttempt;
-    private volatile Endpoint mEndpoint;
-    private volatile CompletionStream mStream;
-    private volatile boolean mDispatched;
-    private int mAttempts;
-    private int mNextIndex;
+    private Reservation mReservation;
+    private String mPermission = "";
+    private Attempt mAttempt;
+    private Endpoint mEndpoint;
+    private EngineConnection mConnection;
+    private FoxtailridgeException mLastFailure;
+    private String mTextSoFar = "";
+    private int mTokensSoFar;
+    private int mAttemptTokens;
+    private int mTries;
+    private boolean mMayHaveBegun;
+    private boolean mEnded;
     private Usage mUsage;
 
     CompletionRun(
@@ -54,23 +76,38 @@
             Caller caller,
             CompletionRequest request,
             ModelChoice choice,
-            AnswerSink sink) {
+            AnswerSink sink,
+            Fingerprint fingerprint) {
         mServices = services;
         mExchange = exchange;
         mCaller = caller;
         mRequest = request;
         mChoice = choice;
         mSink = sink;
+        mFingerprint = fingerprint;
+        mRunId = services.identifiers().next();
+        mCalls = new CompletionCalls(request, choice);
+        mTimes = services.newTimes(choice.model().name());
+        mStream =
+                AnswerStream.builder(exchange.requestId())
+                        .mayRepeatElsewhere(mayRepeatElsewhere(request))
+                        .maximumResumes(MAXIMUM_RESUMES)
+                        .maximumKeptCharacters(MAXIMUM_KEPT_CHARACTERS)
+                        .build();
     }
 
     /** Starts the run; it ends by itself. */
     void start() {
         mServices.running().add(this);
-        long tokens = (long) mRequest.promptTokens() + mRequest.maximumTokens();
         mServices
                 .limits()
-                .reserve(ClientAccountName.of(mCaller.clientAccount()), tokens)
-                .whenComplete(this::onReserved);
+                .reserve(ClientAccountName.of(mCaller.clientAccount()), reservedTokens())
+                .whenComplete((granted, failure) -> run(() -> onReserved(granted, failure)));
+    }
+
+    /** Runs an event after those that came before. */
+    void run(Runnable event) {
+        mInvoker.run(event);
     }
 
     @Override
@@ -85,196 +122,377 @@
 
     @Override
     public void keyWithdrawn() {
-        end(AttemptEnd.CANCELLED, CompletionFailedException.keyWithdrawn(mDispatched));
+        run(() -> end(CompletionFailedException.keyWithdrawn(mMayHaveBegun)));
+    }
+
+    @Override
+    public void onDispatch(Attempt attempt, RoutingDecision.Dispatch decision) {
+        run(() -> connect(attempt, decision));
     }
 
     @Override
-    public void onToken(CompletionStream stream, CompletionToken token) {
-        if (mEnded.get()) {
+    public void onRefused(FoxtailridgeException refusal) {
+        run(() -> end(mMayHaveBegun && mLastFailure != null ? mLastFailure : refusal));
+    }
+
+    @Override
+    public void onPreempted(Attempt attempt) {
+        run(() -> giveWay(attempt));
+    }
+
+    void onToken(EngineConnection connection, CompletionToken token) {
+        if (isStale(connection)) {
             return;
         }
-        if (!mAttempt.matches(token) || token.index() != mNextIndex || mUsage != null) {
-            stream.abort();
-            end(
-                    AttemptEnd.FAILED,
-                    CompletionFailedException.midway(mNextIndex, "a token of another answer"));
-            return;
+        TokenEvent event =
+                new TokenEvent(
+                        token.requestId(),
+                        token.attemptId(),
+                        token.index(),
+                        token.text(),
+                        java.util.Optional.ofNullable(token.finishReason()));
+        StreamStep step = mStream.tokenArrived(event);
+        if (step instanceof StreamStep.Deliver deliver) {
+            deliver(connection, deliver, token);
+        } else if (step instanceof StreamStep.Drop) {
+            connection.demand();
+        } else {
+            follow(step);
         }
-        mNextIndex++;
-        if (mNextIndex == 1) {
-            mServices.routing().firstTokenArrived(mAttempt.attemptId());
+    }
+
+    void onDone(EngineConnection connection) {
+        if (!isStale(connection)) {
+            follow(mStream.ended(mAttempt.attemptId()));
         }
-        if (token.isLast()) {
-            mUsage = token.usage();
+    }
+
+    void onRefused(EngineConnection connection, boolean notStarted) {
+        if (isStale(connection)) {
+            return;
+        }
+        if (connection.failedToResume()) {
+            onAttemptLost();
+        } else if (notStarted) {
+            attemptFailed(AttemptEnd.NOT_STARTED, AttemptProgress.NOT_BEGUN);
+        } else {
+            attemptFailed(AttemptEnd.FAILED, AttemptProgress.MAY_HAVE_BEGUN);
         }
-        mSink.token(token, Callback.from(stream::demand, this::onCallerGone));
     }
 
-    @Override
-    public void onDone() {
-        if (mUsage == null) {
-            onBroken(true, new IllegalStateException("the answer ended without a finish reason"));
+    void onBroken(EngineConnection connection, boolean mayHaveStarted, Throwable cause) {
+        if (isStale(connection)) {
             return;
         }
-        if (beginEnd(AttemptEnd.FINISHED)) {
-            mSink.finish(mUsage);
+        LOGGER.info("attempt {} broke off: {}", mAttempt.attemptId(), cause.toString());
+        if (connection.failedToResume()) {
+            onAttemptLost();
+        } else if (!mayHaveStarted) {
+            attemptFailed(AttemptEnd.UNREACHABLE, AttemptProgress.NOT_BEGUN);
+        } else {
+            follow(mStream.connectionLost(mAttempt.attemptId()));
         }
     }
 
-    @Override
-    public void onRefused(int status, String reason, boolean notStarted) {
-        AttemptEnd attemptEnd = notStarted ? AttemptEnd.NOT_STARTED : AttemptEnd.FAILED;
-        retryOrFail(attemptEnd, "status " + status + " (" + reason + ")");
+    private static boolean mayRepeatElsewhere(CompletionRequest request) {
+        return request.workClass() != WorkClass.INTERACTIVE || !request.stream();
     }
 
-    @Override
-    public void onBroken(boolean mayHaveStarted, Throwable cause) {
-        if (mEnded.get()) {
-            return;
-        }
-        LOGGER.info("attempt {} broke off", mAttempt.attemptId(), cause);
-        AttemptEnd attemptEnd = mayHaveStarted ? AttemptEnd.FAILED : AttemptEnd.NOT_STARTED;
-        retryOrFail(attemptEnd, "a broken connection");
+    private long reservedTokens() {
+        return (long) mRequest.promptTokens() + mRequest.maximumTokens();
+    }
+
+    private boolean isStale(EngineConnection connection) {
+        return mEnded || connection != mConnection || connection.isClosed();
     }
 
     private void onReserved(Reservation reservation, Throwable failure) {
         if (failure != null) {
-            end(AttemptEnd.NOT_STARTED, FoxtailridgeException.from(failure));
+            end(FoxtailridgeException.from(failure));
             return;
         }
-        mReservation = reservation;
-        if (mEnded.get()) {
+        if (mEnded) {
             mServices.limits().settle(reservation, 0);
             return;
         }
-        route();
+        mReservation = reservation;
+        admit();
+    }
+
+    /** Asks the quarantine for the next attempt. */
+    private void admit() {
+        if (mEnded) {
+            return;
+        }
+        String permission = mServices.identifiers().next();
+        mPermission = permission;
+        mServices
+                .quarantine()
+                .admit(permission, mFingerprint)
+                .whenComplete((isolated, failure) -> run(() -> onAdmitted(isolated, failure)));
     }
 
-    private void route() {
-        mAttempts++;
-        String attemptId = mServices.identifiers().next();
-        mAttempt = new AttemptIdentity(mExchange.requestId(), attemptId);
-        mServices.routing().dispatch(attemptId, routeRequest()).whenComplete(this::onDispatch);
+    private void onAdmitted(Boolean isolated, Throwable failure) {
+        if (mEnded) {
+            return;
+        }
+        if (failure != null) {
+            mPermission = "";
+            onRefused(FoxtailridgeException.from(failure));
+            return;
+        }
+        mServices.routing().submit(routeRequest(isolated), this);
     }
 
-    private RouteRequest routeRequest() {
+    private RouteRequest routeRequest(boolean isolated) {
         RouteTarget target =
                 new RouteTarget.ModelTarget(
                         mChoice.model().name(), mChoice.model().version(), mChoice.adapterName());
         RouteRequest.Builder builder =
-                RouteRequest.builder(mExchange.requestId(), target)
+                RouteRequest.builder(mRunId, target)
                         .clientAccount(mCaller.clientAccount())
                         .workClass(mRequest.workClass())
-                        .promptTokens(mRequest.promptTokens())
-                        .maximumTokens(mRequest.maximumTokens())
-                        .excluded(mExcluded);
+                        .prefixes(PromptPrefixes.of(mRequest, mChoice))
+                        .promptTokens(mRequest.promptTokens() + mTokensSoFar)
+                        .maximumTokens(Math.max(1, mRequest.maximumTokens() - mTokensSoFar))
+                        .excluded(mExcluded)
+                        .isolated(isolated)
+                        .begun(mMayHaveBegun);
         mRequest.due().ifPresent(builder::deadline);
         return builder.build();
     }
 
-    private void onDispatch(RoutingDecision.Dispatch dispatch, Throwable failure) {
-        if (failure != null) {
-            end(AttemptEnd.NOT_STARTED, FoxtailridgeException.from(failure));
+    private void connect(Attempt attempt, RoutingDecision.Dispatch decision) {
+        if (mEnded) {
+            mServices.routing().attemptEnded(attempt.attemptId(), AttemptEnd.CANCELLED, 0);
             return;
         }
-        Endpoint endpoint =
+        mAttempt = attempt;
+        mAttemptTokens = 0;
+        mTries++;
+        mEndpoint =
                 mServices
                         .configuration()
                         .current()
-                        .find(Endpoint.class, dispatch.endpoint().value())
+                        .find(Endpoint.class, attempt.endpoint().value())
                         .orElse(null);
-        if (endpoint == null || mEnded.get()) {
-            retryOrFail(AttemptEnd.NOT_STARTED, "no longer listed");
+        if (mEndpoint == null) {
+            attemptFailed(AttemptEnd.NOT_STARTED, AttemptProgress.NOT_BEGUN);
             return;
         }
-        mEndpoint = endpoint;
-        mExchange.sentTo(endpoint.name());
-        mDispatched = true;
-        mStream =
+        mExchange.sentTo(mEndpoint.name());
+        if (mTries == 1) {
+            mServices.routing().firstTry(mCaller.clientAccount(), mEndpoint.name());
+        }
+        mServices.quarantine().began(mPermission, mServices.reports().startOf(attempt.endpoint()));
+        mStream.attemptBegan(attempt.attemptId());
+        mMayHaveBegun = true;
+        EngineConnection connection = new EngineConnection(this, false);
+        mConnection = connection;
+        connection.opened(
                 mServices
                         .engines()
-                        .complete(endpoint.address(), mAttempt, call(dispatch.version()), this);
-        if (mEnded.get()) {
-            cancelAttempt();
+                        .complete(
+                                mEndpoint.address(),
+                                identity(attempt.attemptId()),
+                                mCalls.call(decision.version(), mTextSoFar, mTokensSoFar),
+                                connection));
+    }
+
+    private AttemptIdentity identity(String attemptId) {
+        return new AttemptIdentity(mExchange.requestId(), attemptId);
+    }
+
+    private void deliver(
+            EngineConnection connection, StreamStep.Deliver deliver, CompletionToken token) {
+        if (mAttemptTokens == 0) {
+            mServices.routing().firstTokenArrived(mAttempt.attemptId());
+        }
+        mAttemptTokens++;
+        mTimes.token();
+        if (token.isLast()) {
+            mUsage = new Usage(promptTokensOf(token), mStream.delivered());
         }
+        CompletionToken numbered =
+                new CompletionToken(
+                        token.requestId(),
+                        token.attemptId(),
+                        deliver.index(),
+                        deliver.text(),
+                        token.finishReason(),
+                        token.isLast() ? mUsage : null);
+        mSink.token(
+                numbered, Callback.from(connection::demand, gone -> run(() -> onCallerGone(gone))));
     }
 
-    private CompletionCall call(String version) {
-        return new CompletionCall(
-                mChoice.model().name(),
-                version,
-                mChoice.adapterName().orElse(null),
-                mRequest.prompt(),
-                mRequest.messages(),
-                mRequest.maximumTokens(),
-                true,
-                EnginePriority.of(mRequest.workClass()));
+    private int promptTokensOf(CompletionToken last) {
+        if (last.usage() == null || mTokensSoFar > 0) {
+            return mRequest.promptTokens();
+        }
+        return last.usage().promptTokens();
     }
 
-    private void retryOrFail(AttemptEnd attemptEnd, String reason) {
-        if (mEnded.get()) {
-            return;
+    private void follow(StreamStep step) {
+        if (step instanceof StreamStep.ResumeSameEngine resume) {
+            resume(resume);
+        } else if (step instanceof StreamStep.ResumeOtherEngine other) {
+            mTextSoFar = other.text();
+            mTokensSoFar = other.tokens();
+            admit();
+        } else if (step instanceof StreamStep.Complete) {
+            finish();
+        } else if (step instanceof StreamStep.Fail fail) {
+            end(failureOf(fail.kind()));
         }
-        if (mNextIndex > 0) {
-            end(attemptEnd, CompletionFailedException.midway(mNextIndex, reason));
+    }
+
+    private void resume(StreamStep.ResumeSameEngine step) {
+        mConnection.close();
+        EngineConnection connection = new EngineConnection(this, true);
+        mConnection = connection;
+        connection.opened(
+                mServices
+                        .engines()
+                        .resume(
+                                mEndpoint.address(),
+                                identity(step.attemptId()),
+                                step.lastIndex(),
+                                connection));
+    }
+
+    /** The engine is gone or doesn't know the attempt any more. */
+    private void onAttemptLost() {
+        if (mStream.delivered() == 0) {
+            attemptFailed(AttemptEnd.FAILED, AttemptProgress.MAY_HAVE_BEGUN);
             return;
         }
-        if (mAttempts >= MAXIMUM_ATTEMPTS || mEndpoint == null) {
-            String name = mEndpoint == null ? "none" : mEndpoint.name();
-            end(attemptEnd, CompletionFailedException.beforeFirstToken(name, reason));
+        String attemptId = mAttempt.attemptId();
+        mExcluded.add(mAttempt.endpoint());
+        endAttempt(AttemptEnd.FAILED);
+        follow(mStream.attemptUnknown(attemptId));
+    }
+
+    private void attemptFailed(AttemptEnd attemptEnd, AttemptProgress progress) {
+        FailedAttempt failed =
+                new FailedAttempt(
+                        mCaller.clientAccount(),
+                        mAttempt.endpoint().value(),
+                        true,
+                        progress,
+                        mLastFailure != null,
+                        mTries,
+                        mRequest.due().orElse(mTimes.began().plus(RETRY_PATIENCE)),
+                        ErrorKind.ENDPOINT_FAILED);
+        mExcluded.add(mAttempt.endpoint());
+        mMayHaveBegun = mLastFailure != null || progress != AttemptProgress.NOT_BEGUN;
+        if (progress != AttemptProgress.NOT_BEGUN) {
+            mLastFailure = failureOf(ErrorKind.ENDPOINT_FAILED);
+        }
+        endAttempt(attemptEnd);
+        mServices
+                .routing()
+                .decide(failed)
+                .thenAccept(decision -> run(() -> onRetryDecision(decision)));
+    }
+
+    private void onRetryDecision(RetryDecision decision) {
+        if (decision instanceof RetryDecision.Retry retry) {
+            mServices.metrics().retried(mMayHaveBegun ? "failed" : "not_begun");
+            mServices.timer().after(retry.delay(), () -> run(this::admit));
+        } else if (decision instanceof RetryDecision.GiveUp giveUp) {
+            end(failureOf(giveUp.kind()));
+        }
+    }
+
+    private FoxtailridgeException failureOf(ErrorKind kind) {
+        return CompletionFailedException.of(kind, mStream.delivered());
+    }
+
+    private void giveWay(Attempt attempt) {
+        if (mEnded || mAttempt == null || !mAttempt.attemptId().equals(attempt.attemptId())) {
             return;
         }
-        mServices.routing().attemptEnded(mAttempt.attemptId(), attemptEnd);
-        mExcluded.add(EndpointName.of(mEndpoint.name()));
-        route();
+        cancelAttempt();
+        if (mStream.delivered() == 0) {
+            admit();
+        } else {
+            follow(mStream.attemptUnknown(attempt.attemptId()));
+        }
     }
 
     private void onCallerGone(Throwable cause) {
-        if (beginEnd(AttemptEnd.CANCELLED)) {
-            cancelAttempt();
+        if (!mEnded) {
+            close();
             mExchange.abandon(cause);
         }
     }
 
-    private void end(AttemptEnd attemptEnd, FoxtailridgeException failure) {
-        if (beginEnd(attemptEnd)) {
-            if (mDispatched) {
-                cancelAttempt();
-            }
+    private void finish() {
+        endAttempt(AttemptEnd.FINISHED);
+        close();
+        mSink.finish(mUsage);
+    }
+
+    private void end(FoxtailridgeException failure) {
+        if (!mEnded) {
+            close();
             mSink.fail(failure);
         }
     }
 
-    /** Returns whether this call is the one that ends the run; settles and releases if it is. */
-    private boolean beginEnd(AttemptEnd attemptEnd) {
-        if (!mEnded.compareAndSet(false, true)) {
-            return false;
+    /** Ends the run: cancels what still runs, gives back what is held, settles. */
+    private void close() {
+        mEnded = true;
+        cancelAttempt();
+        if (!mPermission.isEmpty()) {
+            mServices.quarantine().released(mPermission);
         }
+        mServices.routing().forget(mRunId);
         mServices.running().remove(this);
-        if (mAttempt != null) {
-            mServices.routing().attemptEnded(mAttempt.attemptId(), attemptEnd);
-        }
         if (mReservation != null) {
-            mServices.limits().settle(mReservation, usedTokens());
+            long used = usedTokens();
+            mServices.limits().settle(mReservation, used);
+            mServices.metrics().tokensCharged(mCaller.clientAccount(), used);
         }
-        return true;
     }
 
     private long usedTokens() {
         if (mUsage != null) {
             return (long) mUsage.promptTokens() + mUsage.completionTokens();
         }
-        return mNextIndex == 0 ? 0 : (long) mRequest.promptTokens() + mNextIndex;
+        int delivered = mStream.delivered();
+        return delivered == 0 ? 0 : (long) mRequest.promptTokens() + delivered;
     }
 
     private void cancelAttempt() {
-        CompletionStream stream = mStream;
-        if (stream != null) {
-            stream.abort();
+        if (mAttempt == null) {
+            return;
+        }
+        if (mConnection != null) {
+            mServices.engines().cancel(mEndpoint.address(), mAttempt.attemptId());
+        }
+        endAttempt(AttemptEnd.CANCELLED);
+    }
+
+    private void endAttempt(AttemptEnd attemptEnd) {
+        if (mAttempt == null) {
+            return;
+        }
+        if (mConnection != null && attemptEnd != AttemptEnd.FINISHED) {
+            mConnection.close();
         }
-        Endpoint endpoint = mEndpoint;
-        if (endpoint != null) {
-            mServices.engines().cancel(endpoint.address(), mAttempt.attemptId());
+        mServices.routing().attemptEnded(mAttempt.attemptId(), attemptEnd, mAttemptTokens);
+        tellQuarantine(attemptEnd);
+        mAttempt = null;
+        mConnection = null;
+    }
+
+    private void tellQuarantine(AttemptEnd attemptEnd) {
+        switch (attemptEnd) {
+            case FINISHED -> mServices.quarantine().finished(mPermission);
+            case FAILED -> mServices.quarantine().failed(mPermission);
+            default -> mServices.quarantine().released(mPermission);
         }
+        mPermission = "";
     }
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionServices.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionServices.java
@@ -1,36 +1,56 @@
 package org.foxtailridge.node.caller;
 
+import java.time.Clock;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.foxtailridge.node.duty.ConfigurationView;
+import org.foxtailridge.node.duty.DutyTimer;
 import org.foxtailridge.node.duty.LimitsDuty;
+import org.foxtailridge.node.duty.QuarantineDuty;
+import org.foxtailridge.node.duty.ReportsDuty;
 import org.foxtailridge.node.duty.RoutingDuty;
+import org.foxtailridge.node.metrics.NodeMetrics;
 import org.foxtailridge.platform.engine.EngineClient;
 
-/** What completions are run with. */
+/** What requests are run with. */
 @Singleton
 final class CompletionServices {
     private final ConfigurationView mConfiguration;
     private final LimitsDuty mLimits;
     private final RoutingDuty mRouting;
+    private final QuarantineDuty mQuarantine;
+    private final ReportsDuty mReports;
     private final EngineClient mEngines;
     private final RunningRequests mRunning;
     private final AttemptIdentifiers mIdentifiers;
+    private final NodeMetrics mMetrics;
+    private final DutyTimer mTimer;
+    private final Clock mClock;
 
     @Inject
     CompletionServices(
             ConfigurationView configuration,
             LimitsDuty limits,
             RoutingDuty routing,
+            QuarantineDuty quarantine,
+            ReportsDuty reports,
             EngineClient engines,
             RunningRequests running,
-            AttemptIdentifiers identifiers) {
+            AttemptIdentifiers identifiers,
+            NodeMetrics metrics,
+            DutyTimer timer,
+            Clock clock) {
         mConfiguration = configuration;
         mLimits = limits;
         mRouting = routing;
+        mQuarantine = quarantine;
+        mReports = reports;
         mEngines = engines;
         mRunning = running;
         mIdentifiers = identifiers;
+        mMetrics = metrics;
+        mTimer = timer;
+        mClock = clock;
     }
 
     ConfigurationView configuration() {
@@ -45,6 +65,14 @@
         return mRouting;
     }
 
+    QuarantineDuty quarantine() {
+        return mQuarantine;
+    }
+
+    ReportsDuty reports() {
+        return mReports;
+    }
+
     EngineClient engines() {
         return mEngines;
     }
@@ -56,4 +84,21 @@
     AttemptIdentifiers identifiers() {
         return mIdentifiers;
     }
+
+    NodeMetrics metrics() {
+        return mMetrics;
+    }
+
+    DutyTimer timer() {
+        return mTimer;
+    }
+
+    Clock clock() {
+        return mClock;
+    }
+
+    /** Returns times of an answer that begins now. */
+    AnswerTimes newTimes(String model) {
+        return new AnswerTimes(mClock, mMetrics, model);
+    }
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceRun.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceRun.java
@@ -6,28 +6,37 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.foxtailridge.configuration.model.Endpoint;
 import org.foxtailridge.configuration.model.Service;
 import org.foxtailridge.configuration.model.ServiceRoute;
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.error.FoxtailridgeException;
+import org.foxtailridge.core.error.Ran;
 import org.foxtailridge.core.name.ClientAccountName;
 import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.execution.retry.AttemptProgress;
+import org.foxtailridge.execution.retry.FailedAttempt;
+import org.foxtailridge.execution.retry.RetryDecision;
 import org.foxtailridge.limits.Reservation;
+import org.foxtailridge.node.duty.DispatchListener;
 import org.foxtailridge.platform.engine.AttemptIdentity;
 import org.foxtailridge.platform.http.ExchangeFailedException;
 import org.foxtailridge.platform.service.ServiceAnswer;
 import org.foxtailridge.platform.service.ServiceCall;
 import org.foxtailridge.platform.service.ServiceClient;
+import org.foxtailridge.routing.Attempt;
 import org.foxtailridge.routing.AttemptEnd;
 import org.foxtailridge.routing.RouteRequest;
 import org.foxtailridge.routing.RouteTarget;
 import org.foxtailridge.routing.RoutingDecision;
 
-/** One call of a plain service from admission to the answer. */
-final class ServiceRun implements RunningRequest {
-    private static final int MAXIMUM_ATTEMPTS = 3;
+/**
+ * One call of a plain service from admission to the answer. A call that may not be repeated is sent
+ * again only while it provably has not begun.
+ */
+final class ServiceRun implements RunningRequest, DispatchListener {
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
     private static final String[] FORWARDED_HEADERS = {
         "Content-Type", "Accept", "Accept-Language", "Idempotency-Key"
     };
@@ -39,12 +48,16 @@
     private final Service mService;
     private final ServiceRoute mRoute;
     private final ServiceCall mCall;
-    private final AtomicBoolean mEnded = new AtomicBoolean();
+    private final String mRunId;
+    private final AnswerTimes mTimes;
+    private final SerializedInvoker mInvoker = new SerializedInvoker(ServiceRun.class);
     private final Set<EndpointName> mExcluded = new HashSet<>();
-    private volatile Reservation mReservation;
-    private volatile AttemptIdentity mAttempt;
-    private volatile Endpoint mEndpoint;
-    private int mAttempts;
+    private Reservation mReservation;
+    private Attempt mAttempt;
+    private boolean mMayHaveBegun;
+    private boolean mEarlierMayHaveBegun;
+    private boolean mEnded;
+    private int mTries;
 
     ServiceRun(
             CompletionServices services,
@@ -62,19 +75,21 @@
         mService = service;
         mRoute = route;
         mCall = new ServiceCall(exchange.method(), target, forwardedHeaders(exchange), body);
+        mRunId = services.identifiers().next();
+        mTimes = services.newTimes(service.name());
     }
 
     /** Starts the call; it ends by itself. */
     void start() {
         mServices.running().add(this);
         if (mCaller.isEmpty() || mRoute.tokens() == 0) {
-            route();
+            run(this::submit);
             return;
         }
         mServices
                 .limits()
                 .reserve(ClientAccountName.of(clientAccount()), mRoute.tokens())
-                .whenComplete(this::onReserved);
+                .whenComplete((granted, failure) -> run(() -> onReserved(granted, failure)));
     }
 
     @Override
@@ -89,7 +104,24 @@
 
     @Override
     public void keyWithdrawn() {
-        fail(CompletionFailedException.keyWithdrawn(mEndpoint != null));
+        run(() -> fail(CompletionFailedException.keyWithdrawn(mMayHaveBegun)));
+    }
+
+    @Override
+    public void onDispatch(Attempt attempt, RoutingDecision.Dispatch decision) {
+        run(() -> send(attempt));
+    }
+
+    @Override
+    public void onRefused(FoxtailridgeException refusal) {
+        run(() -> fail(refusal));
+    }
+
+    @Override
+    public void onPreempted(Attempt attempt) {}
+
+    private void run(Runnable event) {
+        mInvoker.run(event);
     }
 
     private static Map<String, String> forwardedHeaders(CallerExchange exchange) {
@@ -105,122 +137,135 @@
             fail(FoxtailridgeException.from(failure));
             return;
         }
-        mReservation = reservation;
-        if (mEnded.get()) {
+        if (mEnded) {
             mServices.limits().settle(reservation, 0);
             return;
         }
-        route();
+        mReservation = reservation;
+        submit();
     }
 
-    private void route() {
-        mAttempts++;
-        String attemptId = mServices.identifiers().next();
-        mAttempt = new AttemptIdentity(mExchange.requestId(), attemptId);
+    private void submit() {
+        if (mEnded) {
+            return;
+        }
         RouteRequest request =
-                RouteRequest.builder(
-                                mExchange.requestId(),
-                                new RouteTarget.ServiceTarget(mService.name()))
+                RouteRequest.builder(mRunId, new RouteTarget.ServiceTarget(mService.name()))
                         .clientAccount(clientAccount())
                         .excluded(mExcluded)
+                        .begun(mMayHaveBegun)
                         .build();
-        mServices.routing().dispatch(attemptId, request).whenComplete(this::onDispatch);
+        mServices.routing().submit(request, this);
     }
 
-    private void onDispatch(RoutingDecision.Dispatch dispatch, Throwable failure) {
-        if (failure != null) {
-            fail(FoxtailridgeException.from(failure));
-            return;
-        }
+    private void send(Attempt attempt) {
         Optional<Endpoint> endpoint =
                 mServices
                         .configuration()
                         .current()
-                        .find(Endpoint.class, dispatch.endpoint().value());
-        if (endpoint.isEmpty() || mEnded.get()) {
-            endAttempt(AttemptEnd.NOT_STARTED);
-            fail(
-                    RefusedException.of(
-                            ErrorKind.NO_ENDPOINT, "the chosen endpoint is no longer listed"));
+                        .find(Endpoint.class, attempt.endpoint().value());
+        if (endpoint.isEmpty() || mEnded) {
+            mServices.routing().attemptEnded(attempt.attemptId(), AttemptEnd.CANCELLED, 0);
+            fail(RefusedException.of(ErrorKind.NO_ENDPOINT, "the endpoint is no longer listed"));
             return;
         }
-        mEndpoint = endpoint.get();
-        mExchange.sentTo(mEndpoint.name());
+        mAttempt = attempt;
+        mTries++;
+        mMayHaveBegun = true;
+        mExchange.sentTo(endpoint.get().name());
+        if (mTries == 1) {
+            mServices.routing().firstTry(clientAccount(), endpoint.get().name());
+        }
         mClient.call(
-                        mEndpoint.address(),
-                        mAttempt,
+                        endpoint.get().address(),
+                        new AttemptIdentity(mExchange.requestId(), attempt.attemptId()),
                         mCall,
                         Duration.ofMillis(mRoute.timeoutMilliseconds()))
-                .whenComplete(this::onAnswer);
+                .whenComplete((answer, failure) -> run(() -> onAnswer(answer, failure)));
     }
 
     private void onAnswer(ServiceAnswer answer, Throwable failure) {
         if (failure != null) {
-            onExchangeFailed(FoxtailridgeException.from(failure));
-            return;
-        }
-        if (answer.notStarted()) {
-            endAttempt(AttemptEnd.NOT_STARTED);
-            retryOrFail(
-                    true,
-                    RefusedException.of(
-                            ErrorKind.NO_ENDPOINT, "every endpoint refused before it began"));
-            return;
-        }
-        endAttempt(AttemptEnd.FINISHED);
-        if (beginEnd()) {
-            settle(mRoute.tokens());
-            mExchange.answer(answer.status(), answer.contentType(), answer.body());
+            onNoAnswer(FoxtailridgeException.from(failure));
+        } else if (answer.notStarted()) {
+            attemptFailed(AttemptEnd.NOT_STARTED, AttemptProgress.NOT_BEGUN);
+        } else {
+            endAttempt(AttemptEnd.FINISHED);
+            finish(answer);
         }
     }
 
-    private void onExchangeFailed(FoxtailridgeException failure) {
+    private void onNoAnswer(FoxtailridgeException failure) {
         boolean mayHaveArrived =
                 !(failure instanceof ExchangeFailedException exchange) || exchange.mayHaveArrived();
-        endAttempt(mayHaveArrived ? AttemptEnd.FAILED : AttemptEnd.NOT_STARTED);
-        FoxtailridgeException answer =
-                mayHaveArrived
-                        ? CompletionFailedException.beforeFirstToken(
-                                mEndpoint.name(), "a broken connection")
-                        : RefusedException.of(
-                                ErrorKind.NO_ENDPOINT, "no endpoint could be reached");
-        retryOrFail(mRoute.idempotent() || !mayHaveArrived, answer);
-    }
-
-    private void retryOrFail(boolean mayRetry, FoxtailridgeException failure) {
-        if (!mayRetry || mAttempts >= MAXIMUM_ATTEMPTS || mEnded.get()) {
-            fail(failure);
+        if (mayHaveArrived) {
+            attemptFailed(AttemptEnd.FAILED, AttemptProgress.MAY_HAVE_BEGUN);
+        } else {
+            attemptFailed(AttemptEnd.UNREACHABLE, AttemptProgress.NOT_BEGUN);
+        }
+    }
+
+    private void attemptFailed(AttemptEnd attemptEnd, AttemptProgress progress) {
+        if (mEnded || mAttempt == null) {
             return;
         }
-        mExcluded.add(EndpointName.of(mEndpoint.name()));
-        route();
+        FailedAttempt failed =
+                new FailedAttempt(
+                        clientAccount(),
+                        mAttempt.endpoint().value(),
+                        mRoute.idempotent(),
+                        progress,
+                        mEarlierMayHaveBegun,
+                        mTries,
+                        mTimes.began().plus(PATIENCE),
+                        ErrorKind.ENDPOINT_FAILED);
+        mEarlierMayHaveBegun |= progress != AttemptProgress.NOT_BEGUN;
+        mMayHaveBegun = mEarlierMayHaveBegun;
+        mExcluded.add(mAttempt.endpoint());
+        endAttempt(attemptEnd);
+        mServices
+                .routing()
+                .decide(failed)
+                .thenAccept(decision -> run(() -> onRetryDecision(decision)));
+    }
+
+    private void onRetryDecision(RetryDecision decision) {
+        if (decision instanceof RetryDecision.Retry retry) {
+            mServices.metrics().retried(mMayHaveBegun ? "failed" : "not_begun");
+            mServices.timer().after(retry.delay(), () -> run(this::submit));
+        } else if (decision instanceof RetryDecision.GiveUp giveUp) {
+            fail(CompletionFailedException.ofService(giveUp.kind(), mService.name()));
+        }
     }
 
     private void endAttempt(AttemptEnd attemptEnd) {
-        mServices.routing().attemptEnded(mAttempt.attemptId(), attemptEnd);
+        if (mAttempt != null) {
+            mServices.routing().attemptEnded(mAttempt.attemptId(), attemptEnd, 0);
+            mAttempt = null;
+        }
+    }
+
+    private void finish(ServiceAnswer answer) {
+        if (!mEnded) {
+            close(mRoute.tokens());
+            mExchange.answer(answer.status(), answer.contentType(), answer.body());
+        }
     }
 
     private void fail(FoxtailridgeException failure) {
-        if (beginEnd()) {
-            settle(
-                    failure.answer().ran() == org.foxtailridge.core.error.Ran.NO
-                            ? 0
-                            : mRoute.tokens());
+        if (!mEnded) {
+            close(failure.answer().ran() == Ran.NO ? 0 : mRoute.tokens());
             mExchange.fail(failure);
         }
     }
 
-    private void settle(long usedTokens) {
+    private void close(long usedTokens) {
+        mEnded = true;
+        endAttempt(AttemptEnd.CANCELLED);
+        mServices.routing().forget(mRunId);
+        mServices.running().remove(this);
         if (mReservation != null) {
             mServices.limits().settle(mReservation, usedTokens);
         }
     }
-
-    private boolean beginEnd() {
-        if (!mEnded.compareAndSet(false, true)) {
-            return false;
-        }
-        mServices.running().remove(this);
-        return true;
-    }
 }
--- a/node/src/main/java/org/foxtailridge/node/duty/ReportsDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ReportsDuty.java
@@ -1,7 +1,10 @@
 package org.foxtailridge.node.duty;
 
+import com.google.common.base.Throwables;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -12,6 +15,7 @@
 import org.foxtailridge.configuration.model.EndpointKind;
 import org.foxtailridge.core.name.EndpointName;
 import org.foxtailridge.core.thread.DutyThread;
+import org.foxtailridge.execution.quarantine.EndpointStart;
 import org.foxtailridge.node.settings.NodeSettings;
 import org.foxtailridge.platform.engine.EngineClient;
 import org.foxtailridge.platform.engine.LoadReport;
@@ -26,8 +30,10 @@
     private final EngineClient mEngines;
     private final ConfigurationView mConfiguration;
     private final RoutingDuty mRouting;
+    private final QuarantineDuty mQuarantine;
     private final List<BiConsumer<EndpointName, LoadReport>> mListeners =
             new CopyOnWriteArrayList<>();
+    private final Map<EndpointName, EndpointStart> mStarts = new ConcurrentHashMap<>();
     private final Set<String> mAsked = ConcurrentHashMap.newKeySet();
 
     /** Creates the duty and starts its thread. */
@@ -37,14 +43,21 @@
             EngineClient engines,
             ConfigurationView configuration,
             RoutingDuty routing,
+            QuarantineDuty quarantine,
             DutyTimer timer) {
         mEngines = engines;
         mConfiguration = configuration;
         mRouting = routing;
+        mQuarantine = quarantine;
         mThread = DutyThread.start("reports", RING_TASKS);
         timer.every(settings.reportInterval(), mThread, this::askAll);
     }
 
+    /** Returns the start of an endpoint that answered last; incarnation 0 for none. */
+    public EndpointStart startOf(EndpointName endpoint) {
+        return mStarts.getOrDefault(endpoint, new EndpointStart(endpoint.value(), 0));
+    }
+
     /** Adds a listener of all reports; it is called on this duty's thread. */
     public void listen(BiConsumer<EndpointName, LoadReport> listener) {
         mListeners.add(listener);
@@ -78,12 +91,37 @@
         mAsked.remove(endpoint.name());
         EndpointName name = EndpointName.of(endpoint.name());
         if (failure != null) {
-            mRouting.endpointChanged(name, EndpointState.DOWN);
+            onNoAnswer(name, failure);
             return;
         }
+        noteStart(name, report.incarnation());
         boolean leaving = endpoint.leaving() || report.leaving();
         mRouting.endpointChanged(name, leaving ? EndpointState.LEAVING : EndpointState.UP);
         mRouting.loadReported(name, RoutingReports.from(report));
         new ArrayList<>(mListeners).forEach(listener -> listener.accept(name, report));
     }
+
+    /** Tells the quarantine when the process that answered last has ended. */
+    private void noteStart(EndpointName name, long incarnation) {
+        EndpointStart start = new EndpointStart(name.value(), incarnation);
+        EndpointStart former = mStarts.put(name, start);
+        if (former != null && !former.equals(start)) {
+            mQuarantine.endpointLost(former);
+        }
+    }
+
+    private void onNoAnswer(EndpointName name, Throwable failure) {
+        mRouting.endpointChanged(name, EndpointState.DOWN);
+        EndpointStart start = mStarts.get(name);
+        if (start != null && isRefusal(failure)) {
+            mStarts.remove(name, start);
+            mQuarantine.endpointLost(start);
+        }
+    }
+
+    /** A refused connection shows that the machine runs and the process doesn't. */
+    private static boolean isRefusal(Throwable failure) {
+        return Throwables.getCausalChain(failure).stream()
+                .anyMatch(ConnectException.class::isInstance);
+    }
 }
--- a/node/src/main/java/org/foxtailridge/node/duty/RoutingDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/RoutingDuty.java
@@ -2,88 +2,140 @@
 
 import java.time.Clock;
 import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.name.EndpointName;
 import org.foxtailridge.core.thread.DutyThread;
+import org.foxtailridge.execution.retry.FailedAttempt;
+import org.foxtailridge.execution.retry.RetryDecision;
+import org.foxtailridge.execution.retry.RetryPolicy;
 import org.foxtailridge.node.caller.RefusedException;
+import org.foxtailridge.node.peer.PeerIdentity;
 import org.foxtailridge.node.settings.NodeSettings;
 import org.foxtailridge.routing.Attempt;
 import org.foxtailridge.routing.AttemptEnd;
+import org.foxtailridge.routing.CacheEvents;
 import org.foxtailridge.routing.EndpointState;
 import org.foxtailridge.routing.LoadReport;
 import org.foxtailridge.routing.RouteRequest;
 import org.foxtailridge.routing.Router;
 import org.foxtailridge.routing.RoutingDecision;
+import org.foxtailridge.routing.queue.QueueSettings;
+import org.foxtailridge.routing.queue.RequestScheduler;
+import org.foxtailridge.routing.queue.SchedulerOutbox;
 
-/** Runs the router on a thread of its own; holds requests that have to wait for an endpoint. */
+/** Runs queues, router and retry policy on a thread of their own. */
 @Singleton
 public final class RoutingDuty implements AutoCloseable {
-    private static final int MAXIMUM_WAITING = 4096;
-    private static final Duration LONGEST_WAIT = Duration.ofSeconds(10);
-    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration TICK = Duration.ofMillis(50);
 
     private final DutyThread mThread;
     private final Router mRouter;
-    private final Clock mClock;
-    private List<WaitingRequest> mWaiting = new ArrayList<>();
+    private final RequestScheduler mScheduler;
+    private final RetryPolicy mRetries;
+    private final Map<String, DispatchListener> mListeners = new HashMap<>();
 
     /** Creates the duty and starts its thread. */
     @Inject
     public RoutingDuty(
             NodeSettings settings,
+            PeerIdentity identity,
             Router router,
+            RetryPolicy retries,
             Clock clock,
             ConfigurationView configuration,
             DutyTimer timer) {
         mRouter = router;
-        mClock = clock;
+        mRetries = retries;
+        mScheduler =
+                RequestScheduler.builder(clock, router, new Outbox())
+                        .settings(QueueSettings.builder().build())
+                        .attemptPrefix(
+                                identity.name()
+                                        + "-"
+                                        + Long.toString(
+                                                identity.incarnation(), Character.MAX_RADIX))
+                        .build();
         mThread = DutyThread.start("routing", settings.ringTasks());
-        configuration.listen((former, current) -> mThread.offer(() -> mRouter.configure(current)));
-        timer.every(TICK, mThread, this::retryWaiting);
+        configuration.listen(
+                (former, current) -> mThread.offer(() -> mScheduler.configure(current)));
+        timer.every(TICK, mThread, mScheduler::tick);
     }
 
     /**
-     * Chooses an endpoint for an attempt and counts the attempt from then on.
+     * Takes a request into the queue of its model or service.
      *
-     * @param attemptId identifier of the attempt, unique over all nodes
-     * @param request what is to be routed
-     * @return where to send it; fails with {@link RefusedException}
+     * @param request request whose identifier is unique among those of this node
+     * @param listener hears exactly one of dispatch and refusal unless the request is cancelled
      */
-    public CompletableFuture<RoutingDecision.Dispatch> dispatch(
-            String attemptId, RouteRequest request) {
-        CompletableFuture<RoutingDecision.Dispatch> dispatch = new CompletableFuture<>();
-        Instant latest = request.deadline().orElse(mClock.instant().plus(LONGEST_WAIT));
-        WaitingRequest waiting = new WaitingRequest(attemptId, request, latest, dispatch);
-        if (!mThread.offer(() -> chooseOrWait(waiting))) {
-            dispatch.completeExceptionally(RefusedException.overloaded("the ring of routing"));
+    public void submit(RouteRequest request, DispatchListener listener) {
+        boolean offered =
+                mThread.offer(
+                        () -> {
+                            mListeners.put(request.requestId(), listener);
+                            mScheduler.submit(request);
+                        });
+        if (!offered) {
+            listener.onRefused(RefusedException.overloaded("the ring of routing"));
         }
-        return dispatch;
+    }
+
+    /** Withdraws a request that may still wait, and forgets its listener. */
+    public void forget(String requestId) {
+        mThread.offer(
+                () -> {
+                    mScheduler.cancel(requestId);
+                    mListeners.remove(requestId);
+                });
+    }
+
+    /** Decides whether a failed attempt is tried again. */
+    public CompletableFuture<RetryDecision> decide(FailedAttempt failed) {
+        CompletableFuture<RetryDecision> decision = new CompletableFuture<>();
+        if (!mThread.offer(() -> decision.complete(mRetries.decide(failed)))) {
+            decision.complete(new RetryDecision.GiveUp(ErrorKind.ENDPOINT_FAILED));
+        }
+        return decision;
+    }
+
+    /** Notes the first attempt of a request, when it is sent. */
+    public void firstTry(String clientAccount, String endpoint) {
+        mThread.offer(() -> mRetries.firstTry(clientAccount, endpoint));
     }
 
     /** Notes the first token of an attempt. */
     public void firstTokenArrived(String attemptId) {
-        mThread.offer(() -> mRouter.firstTokenArrived(attemptId));
+        mThread.offer(() -> mScheduler.firstTokenArrived(attemptId));
     }
 
     /** Ends the count of an attempt. */
-    public void attemptEnded(String attemptId, AttemptEnd end) {
-        mThread.offer(() -> mRouter.attemptEnded(attemptId, end));
+    public void attemptEnded(String attemptId, AttemptEnd end, int generatedTokens) {
+        mThread.offer(() -> mScheduler.attemptEnded(attemptId, end, generatedTokens));
     }
 
     /** Takes in a load report. */
     public void loadReported(EndpointName endpoint, LoadReport report) {
-        mThread.offer(() -> mRouter.loadReported(endpoint, report));
+        mThread.offer(() -> mScheduler.loadReported(endpoint, report));
+    }
+
+    /** Takes in cache events. */
+    public void cacheChanged(EndpointName endpoint, CacheEvents events) {
+        mThread.offer(() -> mRouter.cacheChanged(endpoint, events));
     }
 
     /** Takes in whether an endpoint is up, down or leaving. */
     public void endpointChanged(EndpointName endpoint, EndpointState state) {
-        mThread.offer(() -> mRouter.endpointChanged(endpoint, state));
+        mThread.offer(() -> mScheduler.endpointChanged(endpoint, state));
+    }
+
+    /** Refuses what is new from now on; what waits and runs goes on. */
+    public void stopAccepting() {
+        mThread.offer(mScheduler::stopAccepting);
     }
 
     @Override
@@ -91,59 +143,35 @@
         mThread.close();
     }
 
-    private void chooseOrWait(WaitingRequest waiting) {
-        if (!tryChoose(waiting)) {
-            if (mWaiting.size() >= MAXIMUM_WAITING) {
-                waiting.refuse(RefusedException.overloaded("the queue of routing"));
-            } else {
-                mWaiting.add(waiting);
-            }
+    /** Hands what the scheduler wants done to the listeners of requests. */
+    private final class Outbox implements SchedulerOutbox {
+        @Override
+        public void dispatch(Attempt attempt, RoutingDecision.Dispatch decision) {
+            tell(attempt.request(), listener -> listener.onDispatch(attempt, decision));
         }
-    }
 
-    private void retryWaiting() {
-        List<WaitingRequest> still = new ArrayList<>();
-        for (WaitingRequest waiting : mWaiting) {
-            if (!tryChoose(waiting)) {
-                still.add(waiting);
-            }
+        @Override
+        public void refuse(RouteRequest request, ErrorKind kind, int retryAfterSeconds) {
+            tell(
+                    request,
+                    listener ->
+                            listener.onRefused(
+                                    RefusedException.withRetryAfter(
+                                            kind,
+                                            "no endpoint can take the request in time",
+                                            retryAfterSeconds)));
         }
-        mWaiting = still;
-    }
 
-    /** Returns whether the request has been decided. */
-    private boolean tryChoose(WaitingRequest waiting) {
-        RoutingDecision decision = mRouter.choose(waiting.request());
-        if (decision instanceof RoutingDecision.Dispatch dispatch) {
-            mRouter.attemptStarted(
-                    new Attempt(waiting.attemptId(), dispatch.endpoint(), waiting.request()));
-            waiting.dispatch().complete(dispatch);
-            return true;
+        @Override
+        public void preempt(Attempt attempt) {
+            tell(attempt.request(), listener -> listener.onPreempted(attempt));
         }
-        if (decision instanceof RoutingDecision.Refuse refuse) {
-            waiting.refuse(
-                    RefusedException.withRetryAfter(
-                            refuse.kind(),
-                            "no endpoint can take the request now",
-                            refuse.retryAfterSeconds()));
-            return true;
-        }
-        if (mClock.instant().isAfter(waiting.latest())) {
-            waiting.refuse(
-                    RefusedException.of(
-                            ErrorKind.DEADLINE_UNREACHABLE, "no endpoint was free in time"));
-            return true;
-        }
-        return false;
-    }
 
-    private record WaitingRequest(
-            String attemptId,
-            RouteRequest request,
-            Instant latest,
-            CompletableFuture<RoutingDecision.Dispatch> dispatch) {
-        private void refuse(RefusedException refusal) {
-            dispatch.completeExceptionally(refusal);
+        private void tell(RouteRequest request, Consumer<DispatchListener> event) {
+            DispatchListener listener = mListeners.get(request.requestId());
+            if (listener != null) {
+                event.accept(listener);
+            }
         }
     }
 }
