--- /dev/null
+++ b/cli/src/main/java/org/foxtailridge/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of operators: entry point and choice of the command. */
+package org.foxtailridge.cli;
--- /dev/null
+++ b/standins/src/main/java/org/foxtailridge/standins/server/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The HTTP server that all stand-ins share: routing of one exchange, JSON, cut and held
+ * connections.
+ */
+package org.foxtailridge.standins.server;
