Claim non-idempotent calls in the log before they are sent

Cause: the same idempotency key through two VMs was sent to the service twice. Change: a claims duty follows the stream "claims"; a call of a non-idempotent route with an idempotency key is sent only after its claim was read back as the first, its outcome is recorded, and a repeated call gets the first answer, a true refusal or "unknown". Conclusion: at most once holds across VMs as far as the decision module proves it.

--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.foxtailridge.node.caller.CallerServer;
 import org.foxtailridge.node.caller.RunningRequests;
+import org.foxtailridge.node.duty.ClaimsDuty;
 import org.foxtailridge.node.duty.ConfigurationDuty;
 import org.foxtailridge.node.duty.DutyTimer;
 import org.foxtailridge.node.duty.LimitsDuty;
@@ -41,6 +42,7 @@
     private final OperatorServer mOperators;
     private final PeerNetwork mPeers;
     private final ConfigurationDuty mConfiguration;
+    private final ClaimsDuty mClaims;
     private final RunningRequests mRunning;
     private final NodeState mState;
     private final StatusReport mStatus;
@@ -59,6 +61,7 @@
             RoutingDuty routing,
             ReportsDuty reports,
             QuarantineDuty quarantine,
+            ClaimsDuty claims,
             MembershipDuty membership,
             RunningRequests running,
             NodeState state,
@@ -71,11 +74,12 @@
         mOperators = operators;
         mPeers = peers;
         mConfiguration = configuration;
+        mClaims = claims;
         mRunning = running;
         mState = state;
         mStatus = status;
         mTimer = timer;
-        mDuties = List.of(configuration, reports, routing, quarantine, membership, limits);
+        mDuties = List.of(configuration, reports, routing, quarantine, claims, membership, limits);
         mClients = List.of(controlClient, endpointClient);
     }
 
@@ -126,6 +130,7 @@
 
     private void listen() {
         mConfiguration.start();
+        mClaims.start();
         mOperators.start();
         mCallers.start();
         LOGGER.info(
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
@@ -7,6 +7,8 @@
 import org.foxtailridge.configuration.model.Service;
 import org.foxtailridge.configuration.model.ServiceRoute;
 import org.foxtailridge.core.error.FoxtailridgeException;
+import org.foxtailridge.execution.claim.ClaimCall;
+import org.foxtailridge.node.duty.ClaimsDuty;
 import org.foxtailridge.platform.service.ServiceClient;
 
 /** Serves {@code ANY /services/{service}/…}. */
@@ -14,11 +16,13 @@
 final class ServiceHandler {
     private final CompletionServices mServices;
     private final ServiceClient mClient;
+    private final ClaimsDuty mClaims;
 
     @Inject
-    ServiceHandler(CompletionServices services, ServiceClient client) {
+    ServiceHandler(CompletionServices services, ServiceClient client, ClaimsDuty claims) {
         mServices = services;
         mClient = client;
+        mClaims = claims;
     }
 
     void handle(CallerExchange exchange, String target) {
@@ -34,6 +38,7 @@
                 service.route(exchange.method(), path)
                         .orElseThrow(() -> RefusedException.unknownService(target));
         Optional<Caller> caller = callerOf(exchange, configuration, service, route);
+        requireIdempotencyKeyLength(exchange);
         exchange.describe("service", caller.map(Caller::clientAccount).orElse(""));
         exchange.body()
                 .whenComplete(
@@ -44,6 +49,7 @@
                                 new ServiceRun(
                                                 mServices,
                                                 mClient,
+                                                mClaims,
                                                 exchange,
                                                 caller,
                                                 service,
@@ -68,4 +74,16 @@
         caller.requireService(service.name());
         return Optional.of(caller);
     }
+
+    private static void requireIdempotencyKeyLength(CallerExchange exchange) {
+        Optional<String> key = exchange.header("Idempotency-Key");
+        boolean allowed =
+                key.isEmpty()
+                        || (!key.get().isEmpty()
+                                && key.get().length() <= ClaimCall.MAXIMUM_KEY_CHARACTERS);
+        if (!allowed) {
+            throw MalformedRequestException.badHeader(
+                    "Idempotency-Key", "1 to " + ClaimCall.MAXIMUM_KEY_CHARACTERS + " characters");
+        }
+    }
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceRun.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceRun.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.foxtailridge.configuration.model.Endpoint;
@@ -15,10 +16,14 @@
 import org.foxtailridge.core.error.Ran;
 import org.foxtailridge.core.name.ClientAccountName;
 import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.execution.claim.CallOutcome;
+import org.foxtailridge.execution.claim.ClaimCall;
 import org.foxtailridge.execution.retry.AttemptProgress;
 import org.foxtailridge.execution.retry.FailedAttempt;
 import org.foxtailridge.execution.retry.RetryDecision;
 import org.foxtailridge.limits.Reservation;
+import org.foxtailridge.node.duty.ClaimVerdict;
+import org.foxtailridge.node.duty.ClaimsDuty;
 import org.foxtailridge.node.duty.DispatchListener;
 import org.foxtailridge.platform.engine.AttemptIdentity;
 import org.foxtailridge.platform.http.ExchangeFailedException;
@@ -37,23 +42,28 @@
  */
 final class ServiceRun implements RunningRequest, DispatchListener {
     private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+    private static final String OPEN_ACCOUNT = "open-route";
     private static final String[] FORWARDED_HEADERS = {
-        "Content-Type", "Accept", "Accept-Language", "Idempotency-Key"
+        "Content-Type", "Accept", "Accept-Language", IDEMPOTENCY_KEY
     };
 
     private final CompletionServices mServices;
     private final ServiceClient mClient;
+    private final ClaimsDuty mClaims;
     private final CallerExchange mExchange;
     private final Optional<Caller> mCaller;
     private final Service mService;
     private final ServiceRoute mRoute;
     private final ServiceCall mCall;
+    private final Optional<String> mIdempotencyKey;
     private final String mRunId;
     private final AnswerTimes mTimes;
     private final SerializedInvoker mInvoker = new SerializedInvoker(ServiceRun.class);
     private final Set<EndpointName> mExcluded = new HashSet<>();
     private Reservation mReservation;
     private Attempt mAttempt;
+    private OptionalLong mClaimedCall = OptionalLong.empty();
     private boolean mMayHaveBegun;
     private boolean mEarlierMayHaveBegun;
     private boolean mEnded;
@@ -62,6 +72,7 @@
     ServiceRun(
             CompletionServices services,
             ServiceClient client,
+            ClaimsDuty claims,
             CallerExchange exchange,
             Optional<Caller> caller,
             Service service,
@@ -70,11 +81,13 @@
             byte[] body) {
         mServices = services;
         mClient = client;
+        mClaims = claims;
         mExchange = exchange;
         mCaller = caller;
         mService = service;
         mRoute = route;
         mCall = new ServiceCall(exchange.method(), target, forwardedHeaders(exchange), body);
+        mIdempotencyKey = exchange.header(IDEMPOTENCY_KEY);
         mRunId = services.identifiers().next();
         mTimes = services.newTimes(service.name());
     }
@@ -83,7 +96,7 @@
     void start() {
         mServices.running().add(this);
         if (mCaller.isEmpty() || mRoute.tokens() == 0) {
-            run(this::submit);
+            run(this::claim);
             return;
         }
         mServices
@@ -142,7 +155,41 @@
             return;
         }
         mReservation = reservation;
-        submit();
+        claim();
+    }
+
+    /** Claims a call that may not be repeated under its idempotency key. */
+    private void claim() {
+        if (mRoute.idempotent() || mIdempotencyKey.isEmpty()) {
+            submit();
+            return;
+        }
+        String account = mCaller.map(Caller::clientAccount).orElse(OPEN_ACCOUNT);
+        String fingerprint =
+                ClaimCall.fingerprintOf(
+                        mCall.method(), mService.name() + mCall.target(), mCall.body());
+        mClaims.claim(ClientAccountName.of(account), mIdempotencyKey.get(), fingerprint)
+                .whenComplete((verdict, failure) -> run(() -> onVerdict(verdict, failure)));
+    }
+
+    private void onVerdict(ClaimVerdict verdict, Throwable failure) {
+        if (failure != null) {
+            fail(FoxtailridgeException.from(failure));
+        } else if (verdict instanceof ClaimVerdict.Dispatch dispatch) {
+            mClaimedCall = OptionalLong.of(dispatch.call());
+            if (mEnded) {
+                reportOutcome(new CallOutcome.NotStarted());
+            } else {
+                submit();
+            }
+        } else if (verdict instanceof ClaimVerdict.AnswerWith repeated) {
+            finish(ServiceAnswers.from(repeated.answer()));
+        }
+    }
+
+    private void reportOutcome(CallOutcome outcome) {
+        mClaimedCall.ifPresent(call -> mClaims.ended(call, outcome));
+        mClaimedCall = OptionalLong.empty();
     }
 
     private void submit() {
@@ -185,12 +232,16 @@
     }
 
     private void onAnswer(ServiceAnswer answer, Throwable failure) {
-        if (failure != null) {
+        if (mEnded) {
+            reportOutcome(
+                    failure == null ? ServiceAnswers.outcomeOf(answer) : new CallOutcome.Unknown());
+        } else if (failure != null) {
             onNoAnswer(FoxtailridgeException.from(failure));
         } else if (answer.notStarted()) {
             attemptFailed(AttemptEnd.NOT_STARTED, AttemptProgress.NOT_BEGUN);
         } else {
             endAttempt(AttemptEnd.FINISHED);
+            reportOutcome(ServiceAnswers.outcomeOf(answer));
             finish(answer);
         }
     }
@@ -261,7 +312,11 @@
 
     private void close(long usedTokens) {
         mEnded = true;
+        boolean awaitsAnswer = mAttempt != null;
         endAttempt(AttemptEnd.CANCELLED);
+        if (!awaitsAnswer) {
+            reportOutcome(mMayHaveBegun ? new CallOutcome.Unknown() : new CallOutcome.NotStarted());
+        }
         mServices.routing().forget(mRunId);
         mServices.running().remove(this);
         if (mReservation != null) {
