--- a/cli/src/main/java/org/foxtailridge/cli/Foxtailridge.java
+++ b/cli/src/main/java/org/foxtailridge/cli/Foxtailridge.java
@@ -8,6 +8,16 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletionException;
+import org.foxtailridge.cli.configuration.DiffCommand;
+import org.foxtailridge.cli.configuration.PublishCommand;
+import org.foxtailridge.cli.configuration.ShowCommand;
+import org.foxtailridge.cli.configuration.ValidateCommand;
+import org.foxtailridge.cli.key.GiveCommand;
+import org.foxtailridge.cli.key.ListCommand;
+import org.foxtailridge.cli.key.WithdrawCommand;
+import org.foxtailridge.cli.node.StatusCommand;
+import org.foxtailridge.cli.platform.OptionException;
 import org.foxtailridge.cli.standin.EngineCommand;
 import org.foxtailridge.cli.standin.LogCommand;
 import org.foxtailridge.cli.standin.ServiceCommand;
@@ -29,7 +39,21 @@
 @Cli(
         name = "foxtailridge",
         description = "Operates a foxtailridge system",
+        commands = {StatusCommand.class},
         groups = {
+            @Group(
+                    name = "configuration",
+                    description = "Checks, publishes and shows the operators' lists",
+                    commands = {
+                        ValidateCommand.class,
+                        PublishCommand.class,
+                        ShowCommand.class,
+                        DiffCommand.class
+                    }),
+            @Group(
+                    name = "key",
+                    description = "Gives, withdraws and lists callers' keys",
+                    commands = {GiveCommand.class, WithdrawCommand.class, ListCommand.class}),
             @Group(
                     name = "standin",
                     description = "Runs a stand-in of an outside system until it is stopped",
@@ -83,7 +107,8 @@
     private static ExitCode runReporting(OperatorCommand command, Terminal terminal) {
         try {
             return command.run(terminal);
-        } catch (FoxtailridgeException failure) {
+        } catch (FoxtailridgeException | CompletionException thrown) {
+            FoxtailridgeException failure = FoxtailridgeException.from(thrown);
             terminal.err().println(failure.kind().word() + ": " + failure.getMessage());
             return exitCodeOf(failure);
         }
@@ -107,6 +132,9 @@
     }
 
     private static ExitCode exitCodeOf(FoxtailridgeException failure) {
+        if (failure instanceof OptionException) {
+            return ExitCode.USAGE;
+        }
         return switch (failure.kind()) {
             case CONFIGURATION_INVALID, MALFORMED_REQUEST -> ExitCode.INVALID;
             case EDIT_CONFLICT -> ExitCode.CONFLICT;
--- /dev/null
+++ b/cli/src/main/java/org/foxtailridge/cli/node/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that ask the nodes. */
+package org.foxtailridge.cli.node;
--- a/cli/src/main/java/org/foxtailridge/cli/terminal/ProcessTerminal.java
+++ b/cli/src/main/java/org/foxtailridge/cli/terminal/ProcessTerminal.java
@@ -2,8 +2,12 @@
 
 import java.io.PrintStream;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -38,6 +42,13 @@
         return System.console() != null;
     }
 
+    @Override
+    public void pause(Duration duration) {
+        Executor later =
+                CompletableFuture.delayedExecutor(duration.toMillis(), TimeUnit.MILLISECONDS);
+        CompletableFuture.runAsync(() -> {}, later).join();
+    }
+
     @Override
     public void awaitStop(AutoCloseable running) {
         CountDownLatch stopped = new CountDownLatch(1);
--- a/cli/src/main/java/org/foxtailridge/cli/terminal/Terminal.java
+++ b/cli/src/main/java/org/foxtailridge/cli/terminal/Terminal.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.time.Clock;
+import java.time.Duration;
 
 /** Where a command writes, and how it waits. */
 public interface Terminal {
@@ -17,6 +18,9 @@
     /** Returns whether progress may be shown, because messages go to a terminal. */
     boolean showsProgress();
 
+    /** Waits for a time before the next try. */
+    void pause(Duration duration);
+
     /** Waits until the process is asked to stop, then closes what is running. */
     void awaitStop(AutoCloseable running);
 }
