Run a whole system on loopback in one process with quickstart

The command starts stand-ins and nodes in one process, publishes the lists and a key for each client account, asks every node for one token and then prints its addresses and keys.

--- a/cli/src/main/java/org/foxtailridge/cli/Foxtailridge.java
+++ b/cli/src/main/java/org/foxtailridge/cli/Foxtailridge.java
@@ -18,6 +18,7 @@
 import org.foxtailridge.cli.key.WithdrawCommand;
 import org.foxtailridge.cli.node.StatusCommand;
 import org.foxtailridge.cli.platform.OptionException;
+import org.foxtailridge.cli.quickstart.QuickstartCommand;
 import org.foxtailridge.cli.standin.EngineCommand;
 import org.foxtailridge.cli.standin.LogCommand;
 import org.foxtailridge.cli.standin.ServiceCommand;
@@ -39,7 +40,7 @@
 @Cli(
         name = "foxtailridge",
         description = "Operates a foxtailridge system",
-        commands = {StatusCommand.class},
+        commands = {QuickstartCommand.class, StatusCommand.class},
         groups = {
             @Group(
                     name = "configuration",
