Hold node queues to fresh work, preempt gently, limit by pace

Change: interactive work that can still be answered in time goes before work that has waited too long, which has every fourth turn; this node's own attempts on an endpoint are limited by the time between tokens; preemption waits 50 ms, takes attempts without a first token first, one at a time for each target; batch work leaves one place free at least. An idle endpoint's limit of one no longer grows without use. The check on the limit of an idle endpoint was seen to fail before the mend, as was the count of preemptions met by the interleavings, which now have 100 steps.

--- a/routing/src/main/java/org/foxtailridge/routing/ExpectedTimeRouter.java
+++ b/routing/src/main/java/org/foxtailridge/routing/ExpectedTimeRouter.java
@@ -34,10 +34,12 @@
     private final PrefixBeliefs mBeliefs;
     private final ExpectedTime mExpected;
     private final ExpectedTimeChoice mChoice;
+    private final double mTargetMilliseconds;
     private final Map<String, Integer> mPoolSizes = new HashMap<>();
 
     private ExpectedTimeRouter(Clock clock, RoutingSettings settings, long seed) {
         super(clock, settings.maximumAttempts());
+        mTargetMilliseconds = settings.betweenTokensMilliseconds();
         mEjection = new OutlierEjection(settings);
         mBeliefs = new PrefixBeliefs(settings);
         mExpected = new ExpectedTime(settings);
@@ -141,6 +143,13 @@
                 .observed(now - inFlight.startedMilliseconds(), inFlight.expectedMilliseconds());
     }
 
+    @Override
+    protected void onPace(InFlightAttempts.InFlight inFlight, double milliseconds) {
+        EndpointEntry entry = inFlight.entry();
+        entry.limit()
+                .paced(milliseconds / mTargetMilliseconds, entry.inFlight(), nowMilliseconds());
+    }
+
     @Override
     protected void onEnd(InFlightAttempts.InFlight inFlight, AttemptEnd end) {
         EndpointEntry entry = inFlight.entry();
--- a/routing/src/main/java/org/foxtailridge/routing/Router.java
+++ b/routing/src/main/java/org/foxtailridge/routing/Router.java
@@ -55,6 +55,14 @@
     /** Notes that the first token of an attempt arrived. */
     void firstTokenArrived(String attemptId);
 
+    /**
+     * Notes how fast the tokens of an attempt in flight come.
+     *
+     * @param attemptId identifier of the attempt
+     * @param millisecondsBetweenTokens mean time between two tokens, in milliseconds
+     */
+    void paceObserved(String attemptId, double millisecondsBetweenTokens);
+
     /** Ends the count of an attempt. A second end of the same attempt is ignored. */
     void attemptEnded(String attemptId, AttemptEnd end);
 
--- a/routing/src/main/java/org/foxtailridge/routing/RoutingSettings.java
+++ b/routing/src/main/java/org/foxtailridge/routing/RoutingSettings.java
@@ -46,6 +46,11 @@
         return mValues.mAdapterFetchMilliseconds;
     }
 
+    /** Returns the time between tokens that endpoints are kept below, in milliseconds. */
+    public double betweenTokensMilliseconds() {
+        return mValues.mBetweenTokensMilliseconds;
+    }
+
     /** Returns the endpoints drawn at random for each decision. */
     public int randomCandidates() {
         return mValues.mRandomCandidates;
@@ -128,6 +133,7 @@
         private double mMillisecondsPerPromptToken = 0.1;
         private double mMillisecondsPerRunningRequest = 1;
         private double mAdapterFetchMilliseconds = 10;
+        private double mBetweenTokensMilliseconds = 45;
         private int mRandomCandidates = 5;
         private int mPreferredCandidates = 4;
         private double mInteractiveReserve = 0.2;
@@ -154,6 +160,7 @@
             mMillisecondsPerPromptToken = other.mMillisecondsPerPromptToken;
             mMillisecondsPerRunningRequest = other.mMillisecondsPerRunningRequest;
             mAdapterFetchMilliseconds = other.mAdapterFetchMilliseconds;
+            mBetweenTokensMilliseconds = other.mBetweenTokensMilliseconds;
             mRandomCandidates = other.mRandomCandidates;
             mPreferredCandidates = other.mPreferredCandidates;
             mInteractiveReserve = other.mInteractiveReserve;
@@ -197,6 +204,13 @@
             return this;
         }
 
+        /** Sets the time between tokens that endpoints are kept below; at least 1 millisecond. */
+        public Builder betweenTokensMilliseconds(double milliseconds) {
+            mBetweenTokensMilliseconds =
+                    requireAtLeast(1, milliseconds, "betweenTokensMilliseconds");
+            return this;
+        }
+
         /** Sets the endpoints drawn at random for each decision; at least 1. */
         public Builder randomCandidates(int count) {
             mRandomCandidates = (int) requireAtLeast(1, count, "randomCandidates");
--- a/routing/src/main/java/org/foxtailridge/routing/internal/DirectoryRouter.java
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/DirectoryRouter.java
@@ -107,6 +107,14 @@
         }
     }
 
+    @Override
+    public void paceObserved(String attemptId, double millisecondsBetweenTokens) {
+        InFlightAttempts.InFlight inFlight = mAttempts.find(attemptId);
+        if (inFlight != null) {
+            onPace(inFlight, millisecondsBetweenTokens);
+        }
+    }
+
     @Override
     public void attemptEnded(String attemptId, AttemptEnd end) {
         InFlightAttempts.InFlight inFlight = mAttempts.end(attemptId, nowMilliseconds());
@@ -140,6 +148,9 @@
     /** Called once for each attempt at its first token. */
     protected void onFirstToken(InFlightAttempts.InFlight inFlight) {}
 
+    /** Called with the mean time between tokens of an attempt in flight, in milliseconds. */
+    protected void onPace(InFlightAttempts.InFlight inFlight, double milliseconds) {}
+
     /** Called once for each attempt at its end. */
     protected void onEnd(InFlightAttempts.InFlight inFlight, AttemptEnd end) {}
 
--- a/routing/src/main/java/org/foxtailridge/routing/internal/ExpectedTimeChoice.java
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/ExpectedTimeChoice.java
@@ -111,12 +111,17 @@
 
     private boolean hasRoom(EndpointEntry entry, RouteRequest request, long now) {
         double ramp = entry.health().ramp(now, mSettings.rampMilliseconds(), mSettings.rampFloor());
-        double share =
-                request.workClass() == WorkClass.INTERACTIVE
-                        ? 1
-                        : 1 - mSettings.interactiveReserve();
-        double limit = Math.max(1, entry.limit().value() * ramp * share);
-        return entry.totalInFlight() < limit;
+        double limit = room(entry.limit().value() * ramp, request);
+        double own = room(entry.limit().own(), request);
+        return entry.totalInFlight() < limit && entry.inFlight() < own;
+    }
+
+    /** Returns the part of a limit that a request may use; batch work leaves one free at least. */
+    private double room(double limit, RouteRequest request) {
+        if (request.workClass() == WorkClass.INTERACTIVE) {
+            return Math.max(1, limit);
+        }
+        return Math.max(1, limit - Math.max(1, limit * mSettings.interactiveReserve()));
     }
 
     /** Looks at more candidates in turn, and at ejected ones when every candidate is ejected. */
--- a/routing/src/main/java/org/foxtailridge/routing/internal/InFlightAttempts.java
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/InFlightAttempts.java
@@ -30,6 +30,11 @@
         return inFlight;
     }
 
+    /** Returns an attempt in flight, null when it isn't counted. */
+    public InFlight find(String attemptId) {
+        return mAttempts.get(attemptId);
+    }
+
     /** Ends the count of an attempt; returns null when it isn't counted. */
     public InFlight end(String attemptId, long now) {
         InFlight inFlight = mAttempts.remove(attemptId);
--- a/routing/src/main/java/org/foxtailridge/routing/queue/FairLane.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/FairLane.java
@@ -15,12 +15,14 @@
  */
 final class FairLane {
     private final Map<String, AccountQueue> mAccounts = new LinkedHashMap<>();
+    private final QueueSettings mSettings;
     private final ToDoubleFunction<String> mWeights;
     private final AccountOrder mOrder;
     private double mFloor;
     private int mSize;
 
-    FairLane(ToDoubleFunction<String> weights, AccountOrder order) {
+    FairLane(QueueSettings settings, ToDoubleFunction<String> weights, AccountOrder order) {
+        mSettings = settings;
         mWeights = weights;
         mOrder = order;
     }
@@ -31,7 +33,7 @@
 
     void add(QueuedRequest queued) {
         AccountQueue account = account(queued.account());
-        if (account.requests().isEmpty()) {
+        if (account.isEmpty()) {
             account.raiseServedTo(mFloor);
             account.setWeight(mWeights.applyAsDouble(queued.account()));
         }
@@ -40,10 +42,10 @@
     }
 
     /** Returns the first request of each account, the one to serve first at the front. */
-    List<QueuedRequest> heads() {
+    List<QueuedRequest> heads(long now) {
         List<QueuedRequest> heads = new ArrayList<>();
         for (AccountQueue account : mOrder.order(waiting())) {
-            heads.add(account.requests().peekFirst());
+            heads.add(account.first(mSettings, now));
         }
         return heads;
     }
@@ -52,8 +54,8 @@
     void serve(QueuedRequest queued) {
         AccountQueue account = mAccounts.get(queued.account());
         mFloor = Math.max(mFloor, account.servedForWeight());
-        account.charge(queued.tokens());
-        remove(queued);
+        account.serve(queued);
+        mSize--;
         forgetIdleAccounts();
     }
 
@@ -103,7 +105,7 @@
     private List<AccountQueue> waiting() {
         List<AccountQueue> waiting = new ArrayList<>();
         for (AccountQueue account : mAccounts.values()) {
-            if (!account.requests().isEmpty()) {
+            if (!account.isEmpty()) {
                 waiting.add(account);
             }
         }
@@ -113,9 +115,6 @@
     private void forgetIdleAccounts() {
         mAccounts
                 .values()
-                .removeIf(
-                        account ->
-                                account.requests().isEmpty()
-                                        && account.servedForWeight() <= mFloor);
+                .removeIf(account -> account.isEmpty() && account.servedForWeight() <= mFloor);
     }
 }
--- a/routing/src/main/java/org/foxtailridge/routing/queue/FairQueue.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/FairQueue.java
@@ -27,7 +27,7 @@
     FairQueue(QueueSettings settings, ToDoubleFunction<String> weights, AccountOrder order) {
         mSettings = settings;
         for (WorkClass workClass : CLASSES) {
-            mLanes.put(workClass, new FairLane(weights, order));
+            mLanes.put(workClass, new FairLane(settings, weights, order));
         }
     }
 
@@ -44,10 +44,6 @@
         return mLanes.values().stream().anyMatch(lane -> !lane.accounts().isEmpty());
     }
 
-    int interactiveSize() {
-        return mLanes.get(WorkClass.INTERACTIVE).size();
-    }
-
     /**
      * Adds a request. Returns the request that must give way when the bound is passed, which may be
      * the one added; a request that has begun never gives way.
@@ -64,11 +60,11 @@
 
     /** Returns the requests to try, in order; at most one for each account and class. */
     List<QueuedRequest> heads(long now) {
-        List<QueuedRequest> interactive = mLanes.get(WorkClass.INTERACTIVE).heads();
+        List<QueuedRequest> interactive = mLanes.get(WorkClass.INTERACTIVE).heads(now);
         List<QueuedRequest> urgent = new ArrayList<>();
         List<QueuedRequest> spare = new ArrayList<>();
         for (WorkClass workClass : List.of(WorkClass.MUST_COMPLETE, WorkClass.DUE_BY)) {
-            for (QueuedRequest head : mLanes.get(workClass).heads()) {
+            for (QueuedRequest head : mLanes.get(workClass).heads(now)) {
                 (head.isUrgent(mSettings, now) ? urgent : spare).add(head);
             }
         }
@@ -104,11 +100,12 @@
         List<QueuedRequest> expired = new ArrayList<>();
         for (FairLane lane : mLanes.values()) {
             for (AccountQueue account : lane.accounts()) {
-                for (QueuedRequest queued : account.requests()) {
-                    if (!queued.mayNotBeRefused() && queued.deadlineMilliseconds() <= now) {
-                        expired.add(queued);
-                    }
-                }
+                account.forEach(
+                        queued -> {
+                            if (!queued.mayNotBeRefused() && queued.deadlineMilliseconds() <= now) {
+                                expired.add(queued);
+                            }
+                        });
             }
         }
         return expired;
@@ -150,11 +147,11 @@
                         Comparator.<AccountQueue>comparingDouble(
                                         account -> account.tokens() / account.weight())
                                 .thenComparing(AccountQueue::account))
-                .map(account -> account.requests().peekLast());
+                .map(account -> account.newest());
     }
 
     private static boolean hasRefusable(AccountQueue account) {
-        QueuedRequest newest = account.requests().peekLast();
+        QueuedRequest newest = account.newest();
         return newest != null && !newest.mayNotBeRefused();
     }
 }
--- a/routing/src/main/java/org/foxtailridge/routing/queue/Preemption.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/Preemption.java
@@ -1,9 +1,10 @@
 package org.foxtailridge.routing.queue;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.foxtailridge.configuration.model.WorkClass;
 import org.foxtailridge.routing.RouteRequest;
 import org.foxtailridge.routing.Router;
@@ -11,16 +12,20 @@
 /**
  * Chooses batch attempts to cancel so that interactive work need not wait.
  *
- * <p>Work due by a time gives way before work that must complete, and the newest first, as it has
- * the least to lose. No request gives way more often than the settings allow, nor when urgent.
+ * <p>Attempts without a first token give way first and the newest before older ones, as they have
+ * the least to lose. When interactive work has waited for longer, work due by a time gives way
+ * although its prompt is computed; work that must complete then doesn't. No request gives way more
+ * often than the settings allow, nor when urgent, and one target has one attempt cancelled at a
+ * time.
  */
 final class Preemption {
     private static final int LARGEST_SCAN = 256;
+    private static final int COMPUTED_WAITS = 3;
 
     private final Router mRouter;
     private final QueueSettings mSettings;
     private final TreeMap<Long, RunningAttempt> mBatch = new TreeMap<>();
-    private final Map<String, Integer> mOutstanding = new HashMap<>();
+    private final Set<String> mOutstanding = new HashSet<>();
 
     Preemption(Router router, QueueSettings settings) {
         mRouter = router;
@@ -36,40 +41,47 @@
     void ended(RunningAttempt running) {
         mBatch.remove(running.number());
         if (running.preemptedFor() != null) {
-            mOutstanding.merge(running.preemptedFor(), -1, Preemption::sumOrNothing);
+            mOutstanding.remove(running.preemptedFor());
         }
     }
 
     /**
-     * Returns an attempt to cancel for a request that waits, if there is one and not enough are
-     * being cancelled for its target already.
+     * Returns an attempt to cancel for a request that waits, if there is one and none is being
+     * cancelled for its target already.
      */
-    Optional<RunningAttempt> victimFor(RouteRequest waiting, int waitingRequests, long now) {
-        String target = waiting.target().name();
-        if (mOutstanding.getOrDefault(target, 0) >= waitingRequests) {
+    Optional<RunningAttempt> victimFor(QueuedRequest waiting, long now) {
+        String target = waiting.request().target().name();
+        long waited = now - waiting.arrivedMilliseconds();
+        if (mOutstanding.contains(target) || waited < mSettings.preemptionWaitMilliseconds()) {
             return Optional.empty();
         }
-        Optional<RunningAttempt> victim = find(waiting, WorkClass.DUE_BY, now);
-        if (victim.isEmpty()) {
-            victim = find(waiting, WorkClass.MUST_COMPLETE, now);
+        Optional<RunningAttempt> victim =
+                find(waiting.request(), now, running -> !running.hasFirstToken());
+        if (victim.isEmpty() && waited >= COMPUTED_WAITS * mSettings.preemptionWaitMilliseconds()) {
+            victim = find(waiting.request(), now, Preemption::isDueBy);
         }
         victim.ifPresent(
                 running -> {
                     running.preemptFor(target);
-                    mOutstanding.merge(target, 1, Integer::sum);
+                    mOutstanding.add(target);
                 });
         return victim;
     }
 
-    private Optional<RunningAttempt> find(RouteRequest waiting, WorkClass workClass, long now) {
+    private Optional<RunningAttempt> find(
+            RouteRequest waiting, long now, Predicate<RunningAttempt> sort) {
         return mBatch.descendingMap().values().stream()
                 .limit(LARGEST_SCAN)
-                .filter(running -> running.attempt().request().workClass() == workClass)
+                .filter(sort)
                 .filter(running -> mayGiveWay(running, now))
                 .filter(running -> helps(running, waiting))
                 .findFirst();
     }
 
+    private static boolean isDueBy(RunningAttempt running) {
+        return running.attempt().request().workClass() == WorkClass.DUE_BY;
+    }
+
     private boolean mayGiveWay(RunningAttempt running, long now) {
         return running.preemptedFor() == null
                 && !running.attempt().request().isolated()
@@ -82,8 +94,4 @@
                 && mRouter.targetsOn(running.attempt().endpoint())
                         .contains(waiting.target().name());
     }
-
-    private static Integer sumOrNothing(int count, int change) {
-        return count + change <= 0 ? null : count + change;
-    }
 }
--- a/routing/src/main/java/org/foxtailridge/routing/queue/QueueSettings.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/QueueSettings.java
@@ -15,6 +15,9 @@
  * @param batchPatienceMilliseconds longest wait of other work without a deadline
  * @param urgentMilliseconds time before its deadline from which work due by a time is urgent
  * @param agedMilliseconds wait after which work that must complete is urgent
+ * @param freshMilliseconds wait after which interactive work lets that go first which can still be
+ *     answered in time
+ * @param preemptionWaitMilliseconds wait of interactive work after which batch work is cancelled
  * @param maximumPreemptions how often a request may be cancelled to make room
  */
 public record QueueSettings(
@@ -24,6 +27,8 @@
         long batchPatienceMilliseconds,
         long urgentMilliseconds,
         long agedMilliseconds,
+        long freshMilliseconds,
+        long preemptionWaitMilliseconds,
         int maximumPreemptions) {
     /** Checks the bounds. */
     public QueueSettings {
@@ -58,7 +63,9 @@
         private long mBatchPatienceMilliseconds = 600_000;
         private long mUrgentMilliseconds = 30_000;
         private long mAgedMilliseconds = 60_000;
-        private int mMaximumPreemptions = 3;
+        private long mFreshMilliseconds = 300;
+        private long mPreemptionWaitMilliseconds = 50;
+        private int mMaximumPreemptions = 1;
 
         private Builder() {}
 
@@ -98,6 +105,18 @@
             return this;
         }
 
+        /** Sets the wait after which interactive work lets fresh work go first, in milliseconds. */
+        public Builder freshMilliseconds(long milliseconds) {
+            mFreshMilliseconds = milliseconds;
+            return this;
+        }
+
+        /** Sets the wait of interactive work after which batch work is cancelled. */
+        public Builder preemptionWaitMilliseconds(long milliseconds) {
+            mPreemptionWaitMilliseconds = milliseconds;
+            return this;
+        }
+
         /** Sets how often a request may be cancelled to make room. */
         public Builder maximumPreemptions(int preemptions) {
             mMaximumPreemptions = preemptions;
@@ -113,6 +132,8 @@
                     mBatchPatienceMilliseconds,
                     mUrgentMilliseconds,
                     mAgedMilliseconds,
+                    mFreshMilliseconds,
+                    mPreemptionWaitMilliseconds,
                     mMaximumPreemptions);
         }
     }
--- a/routing/src/main/java/org/foxtailridge/routing/queue/QueuedRequest.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/QueuedRequest.java
@@ -40,6 +40,13 @@
         };
     }
 
+    /** Returns whether it has waited too long to be answered in time. */
+    boolean isLate(QueueSettings settings, long now) {
+        return !isBatch()
+                && !request.begun()
+                && now - arrivedMilliseconds > settings.freshMilliseconds();
+    }
+
     boolean isBatch() {
         return request.workClass() != WorkClass.INTERACTIVE;
     }
--- a/routing/src/main/java/org/foxtailridge/routing/queue/RequestScheduler.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/RequestScheduler.java
@@ -123,7 +123,11 @@
 
     /** Notes that the first token of an attempt arrived. */
     public void firstTokenArrived(String attemptId) {
-        mRouter.firstTokenArrived(attemptId);
+        RunningAttempt running = mRunning.get(attemptId);
+        if (running != null) {
+            running.firstToken(mClock.millis());
+            mRouter.firstTokenArrived(attemptId);
+        }
     }
 
     /**
@@ -138,6 +142,10 @@
         if (running == null) {
             return;
         }
+        double pace = running.pace(generatedTokens, mClock.millis());
+        if (pace > 0) {
+            mRouter.paceObserved(attemptId, pace);
+        }
         mRouter.attemptEnded(attemptId, end);
         mPreemption.ended(running);
         settle(running, end, generatedTokens);
@@ -280,7 +288,7 @@
             if (awaitsLikeAll(head.request())) {
                 batchHasRoom = false;
                 if (!head.isBatch()) {
-                    makeRoom(queue, head, now);
+                    makeRoom(head, now);
                     return false;
                 }
             }
@@ -302,10 +310,11 @@
         return !request.isolated() && request.excluded().isEmpty();
     }
 
-    private void makeRoom(FairQueue queue, QueuedRequest head, long now) {
-        mPreemption
-                .victimFor(head.request(), queue.interactiveSize(), now)
-                .ifPresent(running -> mOutbox.preempt(running.attempt()));
+    private void makeRoom(QueuedRequest head, long now) {
+        if (head.isLate(mSettings, now)) {
+            return;
+        }
+        mPreemption.victimFor(head, now).ifPresent(running -> mOutbox.preempt(running.attempt()));
     }
 
     private void start(
--- a/routing/src/main/java/org/foxtailridge/routing/queue/RunningAttempt.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/RunningAttempt.java
@@ -8,6 +8,7 @@
     private final Attempt mAttempt;
     private final QueuedRequest mQueued;
     private String mPreemptedFor;
+    private long mFirstTokenMilliseconds = -1;
 
     RunningAttempt(long number, Attempt attempt, QueuedRequest queued) {
         mNumber = number;
@@ -27,6 +28,24 @@
         return mQueued;
     }
 
+    void firstToken(long now) {
+        if (mFirstTokenMilliseconds < 0) {
+            mFirstTokenMilliseconds = now;
+        }
+    }
+
+    boolean hasFirstToken() {
+        return mFirstTokenMilliseconds >= 0;
+    }
+
+    /** Returns the mean time between tokens, in milliseconds; 0 when it isn't known. */
+    double pace(int tokens, long now) {
+        if (mFirstTokenMilliseconds < 0 || tokens < 2) {
+            return 0;
+        }
+        return (double) (now - mFirstTokenMilliseconds) / (tokens - 1);
+    }
+
     /** Returns the target that it gives way to, null when it doesn't. */
     String preemptedFor() {
         return mPreemptedFor;
--- a/routing/src/test/java/org/foxtailridge/routing/queue/RequestSchedulerInterleavingTest.java
+++ b/routing/src/test/java/org/foxtailridge/routing/queue/RequestSchedulerInterleavingTest.java
@@ -26,7 +26,7 @@
 
 /** Drives the scheduler through random interleavings beside a naive list of outcomes. */
 class RequestSchedulerInterleavingTest {
-    private static final int STEPS = 60;
+    private static final int STEPS = 100;
     private static final int MUTATION_SEEDS = 2_000;
     private static final int LEAST_OUTCOMES = 100;
 
--- a/routing/src/test/java/org/foxtailridge/routing/queue/RouterDecorator.java
+++ b/routing/src/test/java/org/foxtailridge/routing/queue/RouterDecorator.java
@@ -55,6 +55,11 @@
         mRouter.firstTokenArrived(attemptId);
     }
 
+    @Override
+    public void paceObserved(String attemptId, double millisecondsBetweenTokens) {
+        mRouter.paceObserved(attemptId, millisecondsBetweenTokens);
+    }
+
     @Override
     public void attemptEnded(String attemptId, AttemptEnd end) {
         mRouter.attemptEnded(attemptId, end);
--- a/routing/src/test/java/org/foxtailridge/routing/queue/SchedulerDriver.java
+++ b/routing/src/test/java/org/foxtailridge/routing/queue/SchedulerDriver.java
@@ -35,7 +35,11 @@
     private static final List<String> MODELS = List.of("lots", "notes");
     private static final int ENDPOINTS = 4;
     private static final QueueSettings SETTINGS =
-            QueueSettings.builder().maximumPerTarget(6).maximumTotal(9).build();
+            QueueSettings.builder()
+                    .maximumPerTarget(6)
+                    .maximumTotal(9)
+                    .preemptionWaitMilliseconds(0)
+                    .build();
 
     private final ManualClock mClock = ManualClock.at(Instant.ofEpochSecond(1000));
     private final UniformRandomProvider mRandom;
@@ -152,10 +156,10 @@
         }
         List<String> models = MODELS.subList(mRandom.nextInt(2), MODELS.size());
         mResidents.put(endpoint, models);
-        int running = mRandom.nextInt(6);
+        int running = mRandom.nextInt(3);
         mScheduler.loadReported(
                 endpoint,
-                Fleets.report(incarnation, mClock.millis(), running, mRandom.nextInt(4), models));
+                Fleets.report(incarnation, mClock.millis(), running, mRandom.nextInt(6), models));
         mScheduler.loadReported(
                 endpoint, Fleets.report(incarnation, mClock.millis() - 500, 9, 9, List.of()));
     }
