--- a/node/src/main/java/org/foxtailridge/node/NodeModule.java
+++ b/node/src/main/java/org/foxtailridge/node/NodeModule.java
@@ -7,15 +7,15 @@
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.Objects;
 import javax.inject.Named;
 import javax.inject.Singleton;
 import org.eclipse.jetty.client.HttpClient;
 import org.foxtailridge.core.time.MonotonicClock;
 import org.foxtailridge.execution.retry.RetryPolicy;
 import org.foxtailridge.execution.retry.RetrySettings;
+import org.foxtailridge.limits.LimiterSettings;
 import org.foxtailridge.limits.TokenLimiter;
-import org.foxtailridge.limits.baseline.EqualSplitLimiter;
+import org.foxtailridge.limits.grant.GrantLimiter;
 import org.foxtailridge.node.duty.PeerMessages;
 import org.foxtailridge.node.peer.PeerIdentity;
 import org.foxtailridge.node.peer.PeerNetwork;
@@ -31,6 +31,7 @@
 import org.foxtailridge.platform.vm.HttpVmList;
 import org.foxtailridge.platform.vm.VmList;
 import org.foxtailridge.routing.ExpectedTimeRouter;
+import org.foxtailridge.protocol.envelope.Subject;
 import org.foxtailridge.routing.Router;
 import org.foxtailridge.routing.RoutingSettings;
 
@@ -42,7 +43,6 @@
     private static final int CONTROL_THREADS = 16;
     private static final int CONTROL_CONNECTIONS = 32;
     private static final int ENDPOINT_THREADS = 64;
-    private static final int MAXIMUM_NODES = 9;
     private static final int MAXIMUM_OPEN_RESERVATIONS = 100_000;
     private static final int MAXIMUM_SERVICE_ANSWER_BYTES = 4 * 1024 * 1024;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
@@ -116,21 +116,28 @@
 
     @Provides
     @Singleton
-    static TokenLimiter limiter(Clock clock) {
-        return new EqualSplitLimiter(clock, MAXIMUM_NODES, MAXIMUM_OPEN_RESERVATIONS);
+    static TokenLimiter limiter(
+            NodeSettings settings, PeerIdentity identity, Clock clock, PeerNetwork peers) {
+        LimiterSettings limits =
+                LimiterSettings.builder(identity.name(), identity.incarnation())
+                        .maximumNodes(settings.maximumNodes())
+                        .maximumOpenReservations(MAXIMUM_OPEN_RESERVATIONS)
+                        .build();
+        return GrantLimiter.create(
+                limits, clock, (node, message) -> peers.send(node, Subject.LIMITS, message));
     }
 
     @Provides
     @Singleton
     static Router router(NodeSettings settings, PeerIdentity identity, Clock clock) {
         RoutingSettings routing = RoutingSettings.builder(settings.dataCentre().value()).build();
-        return ExpectedTimeRouter.create(clock, routing, seedOf(identity));
+        return ExpectedTimeRouter.create(clock, routing, identity.seed());
     }
 
     @Provides
     @Singleton
     static RetryPolicy retries(PeerIdentity identity, Clock clock) {
-        return RetryPolicy.create(clock, RetrySettings.builder().build(), seedOf(identity));
+        return RetryPolicy.create(clock, RetrySettings.builder().build(), identity.seed());
     }
 
     @Provides
@@ -138,9 +145,4 @@
     static PrometheusMeterRegistry metrics() {
         return new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     }
-
-    /** Seeds differ between nodes and between their starts. */
-    private static long seedOf(PeerIdentity identity) {
-        return Objects.hash(identity.name(), identity.incarnation());
-    }
 }
--- a/node/src/main/java/org/foxtailridge/node/duty/LimitsDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/LimitsDuty.java
@@ -1,27 +1,47 @@
 package org.foxtailridge.node.duty;
 
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.foxtailridge.configuration.model.ClientAccount;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.configuration.model.Plan;
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.name.ClientAccountName;
+import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.core.thread.DutyThread;
 import org.foxtailridge.limits.Admission;
+import org.foxtailridge.limits.HomeLease;
 import org.foxtailridge.limits.Reservation;
 import org.foxtailridge.limits.TokenLimit;
 import org.foxtailridge.limits.TokenLimiter;
+import org.foxtailridge.membership.lease.HeldLease;
+import org.foxtailridge.membership.lease.Lease;
 import org.foxtailridge.node.caller.RefusedException;
+import org.foxtailridge.node.peer.PeerIdentity;
 import org.foxtailridge.node.settings.NodeSettings;
+import org.foxtailridge.protocol.envelope.Subject;
+import org.foxtailridge.protocol.limits.LimitsMessage;
 
 /** Runs the token limiter on a thread of its own. */
 @Singleton
 public final class LimitsDuty implements AutoCloseable {
+    private static final Logger LOGGER = LogManager.getLogger(LimitsDuty.class);
+
     private final DutyThread mThread;
     private final TokenLimiter mLimiter;
+    private final NodeName mSelf;
+    private final Map<ClientAccountName, HeldLease> mHomes = new HashMap<>();
+    private List<ClientAccountName> mAccounts = List.of();
 
     /** Creates the duty and starts its thread. */
     @Inject
@@ -29,10 +49,16 @@
             NodeSettings settings,
             TokenLimiter limiter,
             ConfigurationView configuration,
+            LeasesDuty leases,
+            PeerIdentity identity,
+            PeerMessages messages,
             DutyTimer timer) {
         mLimiter = limiter;
+        mSelf = identity.name();
         mThread = DutyThread.start("limits", settings.ringTasks());
         configuration.listen(this::onConfiguration);
+        leases.listen(holding -> mThread.offer(() -> onHolding(holding)));
+        messages.receive(Subject.LIMITS, this::onMessage);
         timer.every(Duration.ofMillis(TokenLimiter.TICK_MILLISECONDS), mThread, mLimiter::tick);
     }
 
@@ -55,11 +81,52 @@
         mThread.offer(() -> mLimiter.settle(reservation, usedTokens));
     }
 
+    /** Stops granting for good, so that the next home nodes can be handed the state. */
+    public void releaseHomes() {
+        mThread.offer(() -> mHomes.keySet().forEach(mLimiter::releaseHome));
+    }
+
     @Override
     public void close() {
         mThread.close();
     }
 
+    private void onMessage(NodeName sender, ByteString payload) {
+        try {
+            LimitsMessage message = LimitsMessage.parseFrom(payload);
+            mThread.offer(() -> mLimiter.receive(sender, message));
+        } catch (InvalidProtocolBufferException unreadable) {
+            LOGGER.warn("node {} sent a message of limits that can't be read", sender);
+        }
+    }
+
+    private void onHolding(DutyHolding holding) {
+        for (ClientAccountName account : mAccounts) {
+            String duty = DutyNames.homeOf(account.value());
+            Optional<Lease> shown = holding.shownOf(duty);
+            if (shown.isPresent()) {
+                onHome(account, shown.get(), holding.heldOf(duty));
+            }
+        }
+    }
+
+    private void onHome(ClientAccountName account, Lease shown, Optional<HeldLease> held) {
+        if (held.isPresent() && held.get().fencing() == shown.fencing()) {
+            HeldLease former = mHomes.put(account, held.get());
+            if (!held.get().equals(former)) {
+                mLimiter.homeHeld(
+                        new HomeLease(
+                                account,
+                                shown.fencing(),
+                                held.get().validUntil(),
+                                shown.former()));
+            }
+        } else if (!shown.node().equals(mSelf)) {
+            mHomes.remove(account);
+            mLimiter.homeElsewhere(account, shown.node(), shown.fencing());
+        }
+    }
+
     private static void decide(Admission admission, CompletableFuture<Reservation> reservation) {
         if (admission instanceof Admission.Granted granted) {
             reservation.complete(granted.reservation());
@@ -93,6 +160,10 @@
     }
 
     private void applyLimits(Configuration former, Configuration current) {
+        mAccounts =
+                current.all(ClientAccount.class).stream()
+                        .map(account -> ClientAccountName.of(account.name()))
+                        .toList();
         for (ClientAccount account : current.all(ClientAccount.class)) {
             current.find(Plan.class, account.plan())
                     .ifPresent(plan -> changeLimit(account.name(), plan));
--- a/node/src/main/java/org/foxtailridge/node/duty/QuarantineDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/QuarantineDuty.java
@@ -63,7 +63,7 @@
                 Quarantine.create(clock, mNode, QuarantineSettings.builder().build(), new Outbox());
         mThread = DutyThread.start("quarantine", settings.ringTasks());
         messages.receive(Subject.QUARANTINE, this::onMessage);
-        membership.listen(nodes -> mThread.offer(() -> changeNodes(nodes)));
+        membership.listen(view -> mThread.offer(() -> changeNodes(view.dutyNodes())));
         timer.every(TICK, mThread, mQuarantine::tick);
     }
 
--- a/node/src/main/java/org/foxtailridge/node/peer/PeerIdentity.java
+++ b/node/src/main/java/org/foxtailridge/node/peer/PeerIdentity.java
@@ -17,4 +17,9 @@
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(dataCentre, "dataCentre");
     }
+
+    /** Returns a seed that differs between nodes and between their starts. */
+    public long seed() {
+        return Objects.hash(name, incarnation);
+    }
 }
--- a/node/src/main/java/org/foxtailridge/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/foxtailridge/node/settings/NodeSettings.java
@@ -148,6 +148,14 @@
                     1,
                     65_536,
                     "Largest number of connections to one endpoint.");
+    private static final Setting MAXIMUM_NODES =
+            Setting.number(
+                    "limits.maximum_nodes",
+                    "nodes",
+                    9,
+                    1,
+                    10_000,
+                    "Most nodes that run at once over all data centres; equal on all nodes.");
     private static final Setting RING_TASKS =
             Setting.number(
                     "duties.ring_tasks",
@@ -184,6 +192,7 @@
                     REPORT_INTERVAL,
                     STREAM_IDLE,
                     ENDPOINT_CONNECTIONS,
+                    MAXIMUM_NODES,
                     RING_TASKS);
 
     private final SettingsFile mFile;
@@ -336,4 +345,9 @@
     public int ringTasks() {
         return (int) mFile.number(RING_TASKS);
     }
+
+    /** Returns the most nodes that run at once over all data centres. */
+    public int maximumNodes() {
+        return (int) mFile.number(MAXIMUM_NODES);
+    }
 }
