--- a/bench/src/main/java/org/foxtailridge/bench/routing/Demand.java
+++ b/bench/src/main/java/org/foxtailridge/bench/routing/Demand.java
@@ -35,10 +35,12 @@
     private final Deployment mDeployment;
     private final UniformRandomProvider mRandom;
     private final double mRequestsPerSecond;
+    private final boolean mGreedy;
     private final List<Journey> mJourneys = new ArrayList<>();
     private int mNextSession;
 
-    private Demand(Deployment deployment, long seed, double requestsPerSecond) {
+    private Demand(Deployment deployment, long seed, double requestsPerSecond, boolean greedy) {
+        mGreedy = greedy;
         mDeployment = deployment;
         mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         mRequestsPerSecond = requestsPerSecond;
@@ -50,7 +52,21 @@
      * @param requestsPerSecond rate of all accounts together, in requests of mean size
      */
     static List<Journey> of(Deployment deployment, long seed, double requestsPerSecond) {
-        return new Demand(deployment, seed, requestsPerSecond).generate();
+        return new Demand(deployment, seed, requestsPerSecond, false).generate();
+    }
+
+    /**
+     * Returns the same requests, and with them all that one account sends beyond its rate.
+     *
+     * @param requestsPerSecond rate of all accounts together, in requests of mean size
+     */
+    static List<Journey> withGreedyAccount(
+            Deployment deployment, long seed, double requestsPerSecond) {
+        return new Demand(deployment, seed, requestsPerSecond, true).generate();
+    }
+
+    static boolean isGreedy(Journey journey) {
+        return journey.account() == GREEDY_ACCOUNT;
     }
 
     private List<Journey> generate() {
@@ -159,7 +175,9 @@
             level[account] = Math.min(tokensPerSecond(account) * BURST_SECONDS, filled);
             updated[account] = journey.arrival();
             int tokens = journey.promptTokens() + journey.answerTokens();
-            if (tokens <= level[account]) {
+            if (mGreedy && isGreedy(journey)) {
+                passed.add(journey);
+            } else if (tokens <= level[account]) {
                 level[account] -= tokens;
                 passed.add(journey);
             }
--- a/bench/src/main/java/org/foxtailridge/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/foxtailridge/bench/routing/Simulation.java
@@ -57,6 +57,11 @@
         }
     }
 
+    /** Returns the requests with what became of them, after {@link #run}. */
+    List<Journey> journeys() {
+        return mJourneys;
+    }
+
     Outcome run() {
         mEvents.runUntil(Demand.LENGTH_MICROSECONDS + DRAIN_MICROSECONDS);
         int retried = mNodes.stream().mapToInt(FakeNode::retried).sum();
