Test streams of the quickstart apart from its limits

The refusals come from the limiter that nodes run at present: it splits each rate and burst equally over the largest number of nodes.

--- a/cli/src/test/java/org/foxtailridge/cli/QuickstartTest.java
+++ b/cli/src/test/java/org/foxtailridge/cli/QuickstartTest.java
@@ -3,11 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -17,10 +20,12 @@
 import org.foxtailridge.cli.terminal.ExitCode;
 import org.foxtailridge.cli.terminal.ProcessTerminal;
 import org.foxtailridge.cli.terminal.Terminal;
+import org.foxtailridge.configuration.list.ExampleLists;
 import org.foxtailridge.core.json.Json;
 import org.foxtailridge.core.time.MonotonicClock;
 import org.foxtailridge.standins.engine.DeterministicText;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Runs the quickstart in this process and calls its nodes. */
 class QuickstartTest {
@@ -29,8 +34,26 @@
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
+    @TempDir private Path mFolder;
+
+    @Test
+    void should_stream_whole_uncrossed_answers_to_64_callers_of_each_of_3_nodes()
+            throws IOException {
+        // GIVEN
+        String ample =
+                ExampleLists.QUICKSTART
+                        .text()
+                        .replace("= 50_000\n", "= 50_000_000\n")
+                        .replace("= 200_000\n", "= 200_000_000\n");
+        Path lists = Files.writeString(mFolder.resolve("lists.toml"), ample);
+        // WHEN
+        ExitCode code = quickstart(this::checkStreams, "--configuration", lists.toString());
+        // THEN
+        assertThat(code).isEqualTo(ExitCode.OK);
+    }
+
     @Test
-    void should_stream_whole_uncrossed_answers_to_64_callers_of_each_of_3_nodes() {
+    void should_refuse_none_of_the_streams_that_fit_into_the_burst_of_the_example() {
         // WHEN
         ExitCode code = quickstart(this::checkStreams);
         // THEN
@@ -90,9 +113,11 @@
         return text.toString();
     }
 
-    private static ExitCode quickstart(Consumer<JsonNode> check) {
-        List<String> line =
-                List.of("quickstart", "--nodes", "3", "--port", "0", "--between-tokens-ms", "1");
+    private static ExitCode quickstart(Consumer<JsonNode> check, String... options) {
+        List<String> line = new ArrayList<>();
+        line.addAll(List.of("quickstart", "--nodes", "3", "--port", "0"));
+        line.addAll(List.of("--between-tokens-ms", "1"));
+        line.addAll(List.of(options));
         return Foxtailridge.run(line, new CheckingTerminal(check));
     }
 
