--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -13,6 +13,7 @@
 import org.foxtailridge.node.duty.ClaimsDuty;
 import org.foxtailridge.node.duty.ConfigurationDuty;
 import org.foxtailridge.node.duty.DutyTimer;
+import org.foxtailridge.node.duty.LeasesDuty;
 import org.foxtailridge.node.duty.LimitsDuty;
 import org.foxtailridge.node.duty.MembershipDuty;
 import org.foxtailridge.node.duty.NodeState;
@@ -41,7 +42,10 @@
     private final CallerServer mCallers;
     private final OperatorServer mOperators;
     private final PeerNetwork mPeers;
-    private final ConfigurationDuty mConfiguration;
+    private final LeasesDuty mLeases;
+    private final LimitsDuty mLimits;
+    private final MembershipDuty mMembership;
+    private final RoutingDuty mRouting;
     private final ClaimsDuty mClaims;
     private final RunningRequests mRunning;
     private final NodeState mState;
@@ -63,6 +67,7 @@
             QuarantineDuty quarantine,
             ClaimsDuty claims,
             MembershipDuty membership,
+            LeasesDuty leases,
             RunningRequests running,
             NodeState state,
             StatusReport status,
@@ -73,13 +78,17 @@
         mCallers = callers;
         mOperators = operators;
         mPeers = peers;
-        mConfiguration = configuration;
+        mLeases = leases;
+        mLimits = limits;
+        mMembership = membership;
+        mRouting = routing;
         mClaims = claims;
         mRunning = running;
         mState = state;
         mStatus = status;
         mTimer = timer;
-        mDuties = List.of(configuration, reports, routing, quarantine, claims, membership, limits);
+        mDuties = List.of(
+                        configuration, reports, routing, quarantine, claims, leases, membership, limits);
         mClients = List.of(controlClient, endpointClient);
     }
 
@@ -114,6 +123,10 @@
     public void stop() {
         LOGGER.info("stopping with {} requests running", mRunning.count());
         mState.beginStop();
+        mMembership.leave();
+        mLimits.releaseHomes();
+        mLeases.releaseAll().join();
+        mRouting.stopAccepting();
         try {
             mRunning.drained(mSettings.stopTimeout()).join();
         } catch (CompletionException timeout) {
@@ -129,7 +142,6 @@
     }
 
     private void listen() {
-        mConfiguration.start();
         mClaims.start();
         mOperators.start();
         mCallers.start();
--- a/node/src/main/java/org/foxtailridge/node/caller/Authentication.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/Authentication.java
@@ -1,47 +1,53 @@
 package org.foxtailridge.node.caller;
 
+import java.time.Duration;
 import java.util.Optional;
-import org.foxtailridge.configuration.key.KeyHashing;
-import org.foxtailridge.configuration.model.CallerKey;
-import org.foxtailridge.configuration.model.ClientAccount;
-import org.foxtailridge.configuration.model.Configuration;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.foxtailridge.configuration.key.KeyHolder;
 import org.foxtailridge.configuration.model.Plan;
+import org.foxtailridge.node.duty.ConfigurationView;
 
 /** Finds the client account of the key that came with a request. */
+@Singleton
 final class Authentication {
+    private static final String AUTHORIZATION = "Authorization";
     private static final String BEARER = "Bearer ";
 
-    private Authentication() {}
+    private final ConfigurationView mConfiguration;
+
+    @Inject
+    Authentication(ConfigurationView configuration) {
+        mConfiguration = configuration;
+    }
 
     /**
      * Returns who calls.
      *
-     * @param authorization value of the {@code Authorization} header
-     * @throws RefusedException with kind {@code KEY_REFUSED} unless the key belongs to an account
+     * @throws RefusedException with kind {@code KEY_REFUSED} unless the key belongs to an account,
+     *     and {@code CONFIGURATION_STALE} when this node may have missed a withdrawal for longer than
+     *     the plan allows
      */
-    static Caller authenticate(Configuration configuration, Optional<String> authorization) {
-        String key =
-                authorization
-                        .filter(value -> value.regionMatches(true, 0, BEARER, 0, BEARER.length()))
-                        .map(value -> value.substring(BEARER.length()).trim())
+    Caller authenticate(CallerExchange exchange) {
+        KeyHolder holder =
+                keyOf(exchange.header(AUTHORIZATION))
+                        .flatMap(key -> mConfiguration.keys().find(key))
                         .orElseThrow(RefusedException::keyRefused);
-        CallerKey entry =
-                KeyHashing.identifierOf(key)
-                        .flatMap(name -> configuration.find(CallerKey.class, name))
-                        .filter(listed -> KeyHashing.matches(key, listed))
-                        .orElseThrow(RefusedException::keyRefused);
-        return callerOf(configuration, entry);
+        requireFresh(holder.plan());
+        return new Caller(holder.key().name(), holder.account().name(), holder.plan());
     }
 
-    private static Caller callerOf(Configuration configuration, CallerKey entry) {
-        ClientAccount account =
-                configuration
-                        .find(ClientAccount.class, entry.clientAccount())
-                        .orElseThrow(RefusedException::keyRefused);
-        Plan plan =
-                configuration
-                        .find(Plan.class, account.plan())
-                        .orElseThrow(RefusedException::keyRefused);
-        return new Caller(entry.name(), account.name(), plan);
+    private static Optional<String> keyOf(Optional<String> authorization) {
+        return authorization
+                .filter(value -> value.regionMatches(true, 0, BEARER, 0, BEARER.length()))
+                .map(value -> value.substring(BEARER.length()).trim());
+    }
+
+    private void requireFresh(Plan plan) {
+        Duration allowed = Duration.ofSeconds(plan.maximumStalenessSeconds());
+        Duration actual = mConfiguration.staleness();
+        if (actual.compareTo(allowed) > 0) {
+            throw RefusedException.configurationStale(allowed, actual);
+        }
     }
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
@@ -10,20 +10,19 @@
 /** Serves {@code POST /v1/completions} and {@code POST /v1/chat/completions}. */
 @Singleton
 final class CompletionHandler {
-    private static final String AUTHORIZATION = "Authorization";
-
     private final CompletionServices mServices;
+    private final Authentication mAuthentication;
     private final Clock mClock;
 
     @Inject
-    CompletionHandler(CompletionServices services, Clock clock) {
+    CompletionHandler(CompletionServices services, Authentication authentication, Clock clock) {
+        mAuthentication = authentication;
         mServices = services;
         mClock = clock;
     }
 
     void handle(CallerExchange exchange, CompletionShape shape) {
-        Configuration configuration = mServices.configuration().current();
-        Caller caller = Authentication.authenticate(configuration, exchange.header(AUTHORIZATION));
+        Caller caller = mAuthentication.authenticate(exchange);
         exchange.describe("completion", caller.clientAccount());
         exchange.body()
                 .whenComplete(
--- a/node/src/main/java/org/foxtailridge/node/caller/ModelsHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ModelsHandler.java
@@ -16,16 +16,17 @@
     private static final int OK = 200;
 
     private final ConfigurationView mConfiguration;
+    private final Authentication mAuthentication;
 
     @Inject
-    ModelsHandler(ConfigurationView configuration) {
+    ModelsHandler(ConfigurationView configuration, Authentication authentication) {
+        mAuthentication = authentication;
         mConfiguration = configuration;
     }
 
     void handle(CallerExchange exchange) {
         Configuration configuration = mConfiguration.current();
-        Caller caller =
-                Authentication.authenticate(configuration, exchange.header("Authorization"));
+        Caller caller = mAuthentication.authenticate(exchange);
         List<ListedModel> models = new ArrayList<>();
         for (Model model : configuration.all(Model.class)) {
             if (caller.mayUseModel(model.name())) {
--- a/node/src/main/java/org/foxtailridge/node/caller/RefusedException.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/RefusedException.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.node.caller;
 
+import java.time.Duration;
 import java.util.OptionalInt;
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.error.FoxtailridgeException;
@@ -37,6 +38,16 @@
                 ErrorKind.METHOD_NOT_ALLOWED, "expected method " + expected + " but was " + actual);
     }
 
+    static RefusedException configurationStale(Duration allowed, Duration actual) {
+        return of(
+                ErrorKind.CONFIGURATION_STALE,
+                "expected a configuration confirmed within "
+                        + allowed.toSeconds()
+                        + " seconds but it was confirmed "
+                        + actual.toSeconds()
+                        + " seconds ago");
+    }
+
     static RefusedException stopping() {
         return of(ErrorKind.STOPPING, "this VM is stopping; another one serves");
     }
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
@@ -17,9 +17,11 @@
     private final CompletionServices mServices;
     private final ServiceClient mClient;
     private final ClaimsDuty mClaims;
+    private final Authentication mAuthentication;
 
     @Inject
-    ServiceHandler(CompletionServices services, ServiceClient client, ClaimsDuty claims) {
+    ServiceHandler(CompletionServices services, ServiceClient client, ClaimsDuty claims, Authentication authentication) {
+        mAuthentication = authentication;
         mServices = services;
         mClient = client;
         mClaims = claims;
@@ -37,7 +39,7 @@
         ServiceRoute route =
                 service.route(exchange.method(), path)
                         .orElseThrow(() -> RefusedException.unknownService(target));
-        Optional<Caller> caller = callerOf(exchange, configuration, service, route);
+        Optional<Caller> caller = callerOf(exchange, service, route);
         requireIdempotencyKeyLength(exchange);
         exchange.describe("service", caller.map(Caller::clientAccount).orElse(""));
         exchange.body()
@@ -61,16 +63,12 @@
                         });
     }
 
-    private static Optional<Caller> callerOf(
-            CallerExchange exchange,
-            Configuration configuration,
-            Service service,
-            ServiceRoute route) {
+    private Optional<Caller> callerOf(
+            CallerExchange exchange, Service service, ServiceRoute route) {
         if (route.open()) {
             return Optional.empty();
         }
-        Caller caller =
-                Authentication.authenticate(configuration, exchange.header("Authorization"));
+        Caller caller = mAuthentication.authenticate(exchange);
         caller.requireService(service.name());
         return Optional.of(caller);
     }
--- a/node/src/main/java/org/foxtailridge/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/foxtailridge/node/settings/NodeSettings.java
@@ -124,6 +124,14 @@
                     50,
                     60_000,
                     "Time after which a call of the platform is given up.");
+    private static final Setting LOG_RETENTION =
+            Setting.number(
+                    "platform.log_retention_seconds",
+                    "seconds",
+                    604_800,
+                    60,
+                    31_536_000,
+                    "Time for which the log keeps records.");
     private static final Setting REPORT_INTERVAL =
             Setting.number(
                     "endpoints.report_interval_milliseconds",
@@ -189,6 +197,7 @@
                     LOG_ADDRESS,
                     VM_LIST_ADDRESS,
                     PLATFORM_TIMEOUT,
+                    LOG_RETENTION,
                     REPORT_INTERVAL,
                     STREAM_IDLE,
                     ENDPOINT_CONNECTIONS,
@@ -326,6 +335,11 @@
         return Duration.ofMillis(mFile.number(PLATFORM_TIMEOUT));
     }
 
+    /** Returns the time for which the log keeps records. */
+    public Duration logRetention() {
+        return Duration.ofSeconds(mFile.number(LOG_RETENTION));
+    }
+
     /** Returns the time between two reads of an engine's load report. */
     public Duration reportInterval() {
         return Duration.ofMillis(mFile.number(REPORT_INTERVAL));
