--- /dev/null
+++ b/membership/src/main/java/org/foxtailridge/membership/lease/IncompatibleLeaseException.java
@@ -0,0 +1,16 @@
+package org.foxtailridge.membership.lease;
+
+import org.foxtailridge.core.error.ErrorKind;
+import org.foxtailridge.core.error.FoxtailridgeException;
+
+/** A lease record is of a newer format than this version reads. */
+public final class IncompatibleLeaseException extends FoxtailridgeException {
+    IncompatibleLeaseException(int format) {
+        super(
+                ErrorKind.INCOMPATIBLE_VERSION,
+                "expected a lease record of format "
+                        + LeaseRecord.FORMAT
+                        + " or lower but was "
+                        + format);
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/foxtailridge/membership/lease/Lease.java
@@ -0,0 +1,30 @@
+package org.foxtailridge.membership.lease;
+
+import java.util.Objects;
+import org.foxtailridge.core.name.NodeName;
+
+/**
+ * The lease of one duty as the log shows it.
+ *
+ * @param duty name of the duty
+ * @param node node that holds it
+ * @param incarnation milliseconds since the epoch at which the holder's process started
+ * @param fencing offset of the record that acquired it
+ * @param renewedMs time of the log, in milliseconds, at which it was last acquired or renewed
+ * @param durationMs milliseconds for which it lasts from then on
+ * @param certain whether the reader has seen enough of the log to be sure of the holder
+ */
+public record Lease(
+        String duty,
+        NodeName node,
+        long incarnation,
+        long fencing,
+        long renewedMs,
+        long durationMs,
+        boolean certain) {
+    /** Checks that no part is missing. */
+    public Lease {
+        Objects.requireNonNull(duty, "duty");
+        Objects.requireNonNull(node, "node");
+    }
+}
