--- a/membership/src/main/java/org/foxtailridge/membership/lease/Lease.java
+++ b/membership/src/main/java/org/foxtailridge/membership/lease/Lease.java
@@ -1,6 +1,7 @@
 package org.foxtailridge.membership.lease;
 
 import java.util.Objects;
+import java.util.OptionalLong;
 import org.foxtailridge.core.name.NodeName;
 
 /**
@@ -13,6 +14,8 @@
  * @param renewedMs time of the log, in milliseconds, at which it was last acquired or renewed
  * @param durationMs milliseconds for which it lasts from then on
  * @param certain whether the reader has seen enough of the log to be sure of the holder
+ * @param former fencing number of the lease before this one; {@link #UNKNOWN_FENCING} when there
+ *     may have been one that the reader did not see; empty when there was none ever
  */
 public record Lease(
         String duty,
@@ -21,10 +24,15 @@
         long fencing,
         long renewedMs,
         long durationMs,
-        boolean certain) {
+        boolean certain,
+        OptionalLong former) {
+    /** Stands for a former lease whose fencing number is not known. */
+    public static final long UNKNOWN_FENCING = -1;
+
     /** Checks that no part is missing. */
     public Lease {
         Objects.requireNonNull(duty, "duty");
         Objects.requireNonNull(node, "node");
+        Objects.requireNonNull(former, "former");
     }
 }
--- a/membership/src/main/java/org/foxtailridge/membership/lease/LeaseFold.java
+++ b/membership/src/main/java/org/foxtailridge/membership/lease/LeaseFold.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.foxtailridge.core.name.Names;
 import org.foxtailridge.core.name.NodeName;
@@ -24,6 +25,7 @@
 
     private final LeaseSettings mSettings;
     private final Map<String, Lease> mLeases = new HashMap<>();
+    private final Map<String, Long> mLastFencing = new HashMap<>();
     private long mNext;
     private boolean mSeenStart = true;
     private long mCertainFromMs;
@@ -56,6 +58,7 @@
     /** Forgets everything and continues at an offset, after a gap. */
     void restartAt(long offset) {
         mLeases.clear();
+        mLastFencing.clear();
         mNext = offset;
         mSeenStart = offset == 0;
         mCertainFromMs = Long.MAX_VALUE;
@@ -126,7 +129,9 @@
         if (!isInTime(timeMs, record) || (certain && !free)) {
             return false;
         }
-        set(operation, record, offset, timeMs, certain);
+        OptionalLong former = formerOf(operation.duty());
+        mLastFencing.put(operation.duty(), offset);
+        set(operation, record, offset, timeMs, certain, former);
         return certain;
     }
 
@@ -138,7 +143,9 @@
         if (certain && !(same && running)) {
             return false;
         }
-        set(operation, record, operation.fencing(), timeMs, certain);
+        OptionalLong former = same ? held.former() : OptionalLong.of(Lease.UNKNOWN_FENCING);
+        mLastFencing.put(operation.duty(), operation.fencing());
+        set(operation, record, operation.fencing(), timeMs, certain, former);
         return certain;
     }
 
@@ -156,7 +163,8 @@
             LeaseRecord record,
             long fencing,
             long timeMs,
-            boolean certain) {
+            boolean certain,
+            OptionalLong former) {
         mLeases.put(
                 operation.duty(),
                 new Lease(
@@ -166,7 +174,16 @@
                         fencing,
                         timeMs,
                         operation.durationMs(),
-                        certain));
+                        certain,
+                        former));
+    }
+
+    private OptionalLong formerOf(String duty) {
+        Long last = mLastFencing.get(duty);
+        if (last != null) {
+            return OptionalLong.of(last);
+        }
+        return mSeenStart ? OptionalLong.empty() : OptionalLong.of(Lease.UNKNOWN_FENCING);
     }
 
     private static boolean isHeldBy(Lease held, LeaseRecord record, LeaseOperation operation) {
--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -87,8 +87,16 @@
         mState = state;
         mStatus = status;
         mTimer = timer;
-        mDuties = List.of(
-                        configuration, reports, routing, quarantine, claims, leases, membership, limits);
+        mDuties =
+                List.of(
+                        configuration,
+                        reports,
+                        routing,
+                        quarantine,
+                        claims,
+                        leases,
+                        membership,
+                        limits);
         mClients = List.of(controlClient, endpointClient);
     }
 
--- a/node/src/main/java/org/foxtailridge/node/NodeModule.java
+++ b/node/src/main/java/org/foxtailridge/node/NodeModule.java
@@ -30,8 +30,8 @@
 import org.foxtailridge.platform.service.ServiceClient;
 import org.foxtailridge.platform.vm.HttpVmList;
 import org.foxtailridge.platform.vm.VmList;
-import org.foxtailridge.routing.ExpectedTimeRouter;
 import org.foxtailridge.protocol.envelope.Subject;
+import org.foxtailridge.routing.ExpectedTimeRouter;
 import org.foxtailridge.routing.Router;
 import org.foxtailridge.routing.RoutingSettings;
 
--- a/node/src/main/java/org/foxtailridge/node/caller/Authentication.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/Authentication.java
@@ -25,8 +25,8 @@
      * Returns who calls.
      *
      * @throws RefusedException with kind {@code KEY_REFUSED} unless the key belongs to an account,
-     *     and {@code CONFIGURATION_STALE} when this node may have missed a withdrawal for longer than
-     *     the plan allows
+     *     and {@code CONFIGURATION_STALE} when this node may have missed a withdrawal for longer
+     *     than the plan allows
      */
     Caller authenticate(CallerExchange exchange) {
         KeyHolder holder =
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
@@ -20,7 +20,11 @@
     private final Authentication mAuthentication;
 
     @Inject
-    ServiceHandler(CompletionServices services, ServiceClient client, ClaimsDuty claims, Authentication authentication) {
+    ServiceHandler(
+            CompletionServices services,
+            ServiceClient client,
+            ClaimsDuty claims,
+            Authentication authentication) {
         mAuthentication = authentication;
         mServices = services;
         mClient = client;
--- a/node/src/main/java/org/foxtailridge/node/duty/ConfigurationDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ConfigurationDuty.java
@@ -94,15 +94,15 @@
     private void onMembership(MembershipView known) {
         List<NodeName> near = others(known, this::isNear).toList();
         List<NodeName> far = others(known, member -> !isNear(member)).toList();
-        List<NodeName> candidates = Stream.concat(near.stream(), Stream.of(mIdentity.name())).toList();
+        List<NodeName> candidates =
+                Stream.concat(near.stream(), Stream.of(mIdentity.name())).toList();
         boolean readsLog =
                 Rendezvous.isAmongFirst(
-                        READER_DUTY, mIdentity.name(), candidates, READERS_FOR_EACH_DATA_CENTRE);
+                        mIdentity.name(), READERS_FOR_EACH_DATA_CENTRE, READER_DUTY, candidates);
         step(() -> mFollower.onPeers(new Peers(near, far, readsLog)));
     }
 
-    private Stream<NodeName> others(
-            MembershipView known, Predicate<Member> which) {
+    private Stream<NodeName> others(MembershipView known, Predicate<Member> which) {
         return known.members().stream()
                 .filter(Member::takesDuties)
                 .filter(member -> !member.node().equals(mIdentity.name()))
@@ -136,8 +136,7 @@
             mLog.read(STREAM, read.from(), read.limit(), read.waitTime())
                     .whenComplete(
                             (page, failure) ->
-                                    mThread.offer(
-                                            () -> step(() -> onPage(read, page, failure))));
+                                    mThread.offer(() -> step(() -> onPage(read, page, failure))));
         }
 
         @Override
--- a/node/src/main/java/org/foxtailridge/node/duty/ConfigurationView.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ConfigurationView.java
@@ -19,8 +19,7 @@
     private final Clock mClock;
     private final List<ConfigurationListener> mListeners = new CopyOnWriteArrayList<>();
     private volatile InForce mInForce =
-            new InForce(
-                    ConfigurationState.empty(), KeyIndex.of(Configuration.empty()));
+            new InForce(ConfigurationState.empty(), KeyIndex.of(Configuration.empty()));
     private volatile Instant mConfirmedAt;
     private volatile boolean mReady;
     private volatile String mProblem = "";
--- a/node/src/main/java/org/foxtailridge/node/duty/LeasesDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/LeasesDuty.java
@@ -169,8 +169,7 @@
         public void read(long request, long from, int limit, Duration waitTime) {
             mLog.read(STREAM, from, limit, waitTime)
                     .whenComplete(
-                            (page, failure) ->
-                                    mThread.offer(() -> onPage(request, page, failure)));
+                            (page, failure) -> mThread.offer(() -> onPage(request, page, failure)));
         }
 
         private void onAppend(long request, Long offset, Throwable failure) {
--- a/node/src/main/java/org/foxtailridge/node/duty/LimitsDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/LimitsDuty.java
@@ -116,10 +116,7 @@
             if (!held.get().equals(former)) {
                 mLimiter.homeHeld(
                         new HomeLease(
-                                account,
-                                shown.fencing(),
-                                held.get().validUntil(),
-                                shown.former()));
+                                account, shown.fencing(), held.get().validUntil(), shown.former()));
             }
         } else if (!shown.node().equals(mSelf)) {
             mHomes.remove(account);
