--- a/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
+++ b/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
@@ -75,7 +75,7 @@
         private final NodeName mNode;
         private final long mIncarnation;
         private int mMaximumNodes = 9;
-        private int mFloorPercent = 20;
+        private int mFloorPercent = 10;
         private long mFloorDelayMilliseconds = 60_000;
         private long mGrantMilliseconds = 2_000;
         private long mLongestWaitMilliseconds = 400;
--- a/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
@@ -20,10 +20,12 @@
  * node has none or can't be reached, from the node's own floor.
  */
 final class AccountLimiter {
-    private static final long TARGET_MILLISECONDS = 800;
+    private static final long TARGET_MILLISECONDS = 1_200;
     private static final long MILLISECONDS_PER_SECOND = 1_000;
-    private static final long REPORT_MILLISECONDS = 250;
-    private static final long LEAST_PAUSE_MILLISECONDS = 200;
+    private static final long LOW_DIVISOR = 4;
+    private static final long REPORT_MILLISECONDS = 1_000;
+    private static final long LEAST_PAUSE_MILLISECONDS = 100;
+    private static final long SCARCE_PAUSE_MILLISECONDS = 200;
     private static final long MOST_PAUSE_MILLISECONDS = 1_000;
 
     private final LimiterSettings mSettings;
@@ -39,7 +41,9 @@
     private LimitParts mParts;
     private long mWaitingTokens;
     private long mDebtTokens;
+    private long mPauseMilliseconds = LEAST_PAUSE_MILLISECONDS;
     private boolean mListed = true;
+    private boolean mRecalled;
 
     AccountLimiter(
             LimiterSettings settings,
@@ -126,18 +130,34 @@
         }
         mUnused.taken(answer.getTakenBatch(), mFloor, nowMilliseconds, answer.getLendAfterMs());
         if (answer.getGrantedTokens() > 0) {
+            mPauseMilliseconds = LEAST_PAUSE_MILLISECONDS;
             addGrant(answer, nowMilliseconds);
-        } else if (!mWaiting.isEmpty() || answer.getRetryAfterMs() > 0) {
+            if (answer.getGrantedTokens() < mLink.wantedTokens()) {
+                mLink.pause(nowMilliseconds + SCARCE_PAUSE_MILLISECONDS);
+            }
+        } else if (mLink.wantedTokens() > 0) {
             pause(answer.getRetryAfterMs(), nowMilliseconds);
         }
         serveWaiting(nowMilliseconds);
+        sendRecalled(nowMilliseconds);
+    }
+
+    /** Sends back what this node can spare, at once or after the request under way has ended. */
+    void recalled(long fencing, long nowMilliseconds) {
+        advance(nowMilliseconds);
+        if (fencing == mLink.fencing()) {
+            mRecalled = true;
+            sendRecalled(nowMilliseconds);
+        }
     }
 
     void tick(long nowMilliseconds) {
         advance(nowMilliseconds);
         mDemand.advance(nowMilliseconds);
         mLink.giveUp(nowMilliseconds);
-        returnIdle(nowMilliseconds);
+        long idleSince = nowMilliseconds - mSettings.grantMilliseconds() / 2;
+        collectUnspent(idleSince, target());
+        sendRecalled(nowMilliseconds);
         serveWaiting(nowMilliseconds);
         boolean worthReporting = mUnused.hasCollected() || mFloor.hasToLend(nowMilliseconds);
         if (worthReporting && nowMilliseconds - mLink.sentMilliseconds() >= REPORT_MILLISECONDS) {
@@ -222,17 +242,21 @@
     }
 
     private void askWhenLow(long nowMilliseconds) {
-        if (mPool.tokens() < target() / 2) {
+        if (mPool.tokens() < target() / LOW_DIVISOR) {
             ask(1, wanted(), nowMilliseconds);
         }
     }
 
     private void ask(long minimumTokens, long wantedTokens, long nowMilliseconds) {
-        if (!mLink.mayAsk(nowMilliseconds)) {
-            return;
+        if (mLink.mayAsk(nowMilliseconds)) {
+            send(minimumTokens, wantedTokens, nowMilliseconds);
         }
+    }
+
+    private void send(long minimumTokens, long wantedTokens, long nowMilliseconds) {
         GrantRequest.Builder request = mLink.request(nowMilliseconds);
         mUnused.addTo(request, mFloor, nowMilliseconds);
+        mLink.wanted(wantedTokens);
         request.setHeldTokens(mPool.tokensUnder(mLink.fencing()))
                 .setMinimumTokens(Math.max(0, minimumTokens))
                 .setWantedTokens(Math.max(0, wantedTokens));
@@ -259,17 +283,29 @@
     }
 
     private void pause(long retryAfterMilliseconds, long nowMilliseconds) {
-        long pause = Math.max(LEAST_PAUSE_MILLISECONDS, retryAfterMilliseconds);
+        long pause = Math.max(mPauseMilliseconds, retryAfterMilliseconds);
         mLink.pause(nowMilliseconds + Math.min(MOST_PAUSE_MILLISECONDS, pause));
+        mPauseMilliseconds = Math.min(MOST_PAUSE_MILLISECONDS, 2 * mPauseMilliseconds);
+    }
+
+    private void sendRecalled(long nowMilliseconds) {
+        if (!mRecalled || mLink.isPending()) {
+            return;
+        }
+        mRecalled = false;
+        collectUnspent(nowMilliseconds + 1, target() / LOW_DIVISOR);
+        if (mUnused.hasCollected() || mFloor.canLend(nowMilliseconds)) {
+            send(0, 0, nowMilliseconds);
+        }
     }
 
-    private void returnIdle(long nowMilliseconds) {
-        long before = nowMilliseconds - mSettings.grantMilliseconds() / 2;
-        boolean found = true;
-        while (found && mPool.tokens() > target()) {
-            Optional<TokenPool.Lot> idle = mPool.takeIdle(mLink.fencing(), before);
-            idle.ifPresent(lot -> mUnused.collect(lot.origin().stamp(), lot.tokens()));
-            found = idle.isPresent();
+    private void collectUnspent(long grantedBeforeMilliseconds, long keepTokens) {
+        boolean found = !mUnused.isUnderWay();
+        while (found && mPool.tokens() > keepTokens) {
+            Optional<TokenPool.Lot> unspent =
+                    mPool.takeIdle(mLink.fencing(), grantedBeforeMilliseconds);
+            unspent.ifPresent(lot -> mUnused.collectReturned(lot.tokens()));
+            found = unspent.isPresent();
         }
     }
 
--- a/limits/src/main/java/org/foxtailridge/limits/grant/Floor.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/Floor.java
@@ -9,8 +9,9 @@
  * them, or can't take them any more.
  */
 final class Floor {
-    private static final long LEND_ABOVE_QUARTERS = 3;
-    private static final long QUARTERS = 4;
+    private static final long LEND_ABOVE_EIGHTHS = 7;
+    private static final long KEEP_EIGHTHS = 2;
+    private static final long EIGHTHS = 8;
 
     private final TokenBucket mBucket;
     private final long mActiveFromMilliseconds;
@@ -61,21 +62,30 @@
         return mLentTokens == 0
                 && nowMilliseconds >= mLendFromMilliseconds
                 && mBucket.capacity() > 0
-                && mBucket.level() * QUARTERS >= mBucket.capacity() * LEND_ABOVE_QUARTERS;
+                && mBucket.level() * EIGHTHS >= mBucket.capacity() * LEND_ABOVE_EIGHTHS;
     }
 
-    /** Takes what is above half of the capacity out of the floor, to be lent. */
+    /** Returns whether anything can be lent. */
+    boolean canLend(long nowMilliseconds) {
+        return mLentTokens == 0 && nowMilliseconds >= mLendFromMilliseconds && surplus() > 0;
+    }
+
+    /** Takes what is above a quarter of the capacity out of the floor, to be lent. */
     long lend(long nowMilliseconds) {
-        long surplus = mBucket.level() - mBucket.capacity() / 2;
-        if (mLentTokens > 0 || nowMilliseconds < mLendFromMilliseconds || surplus <= 0) {
+        if (!canLend(nowMilliseconds)) {
             return 0;
         }
+        long surplus = surplus();
         mBucket.take(surplus);
         mLentTokens = surplus;
         mBucket.outstanding(surplus);
         return surplus;
     }
 
+    private long surplus() {
+        return mBucket.level() - mBucket.capacity() * KEEP_EIGHTHS / EIGHTHS;
+    }
+
     /** Ends a loan: the home node has taken the tokens or can't take them any more. */
     void endLoan(long nowMilliseconds, long lendAfterMilliseconds) {
         mLentTokens = 0;
--- a/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
@@ -148,6 +148,13 @@
                     limiter.receive(sender, message.getGrantAnswer(), now());
                 }
             }
+            case GRANT_RECALL -> {
+                AccountLimiter limiter =
+                        mAccounts.get(ClientAccountName.of(message.getGrantRecall().getAccount()));
+                if (limiter != null) {
+                    limiter.recalled(message.getGrantRecall().getFencing(), now());
+                }
+            }
             default -> {
                 // A newer version's message; there is nothing to do for it here.
             }
--- a/limits/src/main/java/org/foxtailridge/limits/grant/HolderSession.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HolderSession.java
@@ -31,9 +31,15 @@
         return true;
     }
 
-    /** Notes that the holder has no more than these tokens and takes no earlier grant any more. */
-    void report(long heldTokens) {
+    /**
+     * Notes that the holder has no more than these tokens and takes no earlier grant any more.
+     *
+     * @return tokens that were counted for the holder until now and are not any more
+     */
+    long report(long heldTokens) {
+        long freed = Math.max(0, mHeldTokens - heldTokens);
         mHeldTokens = heldTokens;
+        return freed;
     }
 
     void grant(long tokens, long untilMilliseconds) {
--- a/limits/src/main/java/org/foxtailridge/limits/grant/HomeBucket.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HomeBucket.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.limits.HomeLease;
 import org.foxtailridge.limits.LimiterSettings;
@@ -20,8 +22,9 @@
  */
 final class HomeBucket {
     private static final long MILLION = 1_000_000;
-    private static final long GRANT_DIVISOR = 2;
+    private static final long GRANT_DIVISOR = 6;
     private static final long LEND_PAUSE_MILLISECONDS = 5_000;
+    private static final long RECALL_ROUND_MILLISECONDS = 20;
     private static final int MAXIMUM_UNUSED_ENTRIES = 64;
 
     private final LimiterSettings mSettings;
@@ -29,6 +32,7 @@
     private final HomeLease mFirstLease;
     private final TokenBucket mBucket;
     private final Map<NodeName, HolderSession> mSessions = new HashMap<>();
+    private final RecallPace mRecall = new RecallPace();
     private long mUntilMilliseconds;
     private long mFormerTokens;
     private long mFormerUntilMilliseconds;
@@ -94,12 +98,13 @@
                         request.getIncarnation(), request.getNumber(), nowMilliseconds)) {
             return null;
         }
-        session.report(request.getHeldTokens());
         expire(nowMilliseconds);
+        long freed = session.report(request.getHeldTokens());
+        countOutstanding();
         mBucket.take(Math.min(session.payOwed(), mBucket.level()));
-        boolean lendUseful = takeBatch(session, request);
+        boolean lendUseful = takeBatch(session, request, freed);
         long granted = grant(session, request, nowMilliseconds);
-        long retryAfter = granted > 0 ? 0 : mBucket.millisecondsUntil(request.getMinimumTokens());
+        long retryAfter = granted > 0 ? 0 : retryAfter(request, nowMilliseconds);
         return GrantAnswer.newBuilder()
                 .setAccount(request.getAccount())
                 .setFencing(fencing())
@@ -113,6 +118,28 @@
                 .build();
     }
 
+    private long retryAfter(GrantRequest request, long nowMilliseconds) {
+        long refilled = mBucket.millisecondsUntil(request.getMinimumTokens());
+        return mRecall.isDue(nowMilliseconds)
+                ? Math.min(refilled, RECALL_ROUND_MILLISECONDS)
+                : refilled;
+    }
+
+    /**
+     * Returns the holders that are to send back tokens after a request was answered with none. None
+     * for some time after the last recall, longer each time that recalls brought nothing.
+     */
+    Set<NodeName> recall(NodeName requester, GrantAnswer answer, long nowMilliseconds) {
+        boolean wanting = answer.getGrantedTokens() == 0 && answer.getRetryAfterMs() > 0;
+        if (!wanting || !mRecall.isDue(nowMilliseconds)) {
+            return Set.of();
+        }
+        mRecall.start(nowMilliseconds);
+        Set<NodeName> holders = new TreeSet<>(mSessions.keySet());
+        holders.remove(requester);
+        return holders;
+    }
+
     /** Drops what has lapsed at holders, refills, and forgets holders that are long silent. */
     void expire(long nowMilliseconds) {
         mBucket.advance(nowMilliseconds);
@@ -155,18 +182,25 @@
         mBucket.add(handover.getLevelTokens());
     }
 
-    private boolean takeBatch(HolderSession session, GrantRequest request) {
+    private boolean takeBatch(HolderSession session, GrantRequest request, long freedTokens) {
         if (request.getBatch() == 0
                 || !mRules.isNewBatch(request.getBatch(), session.takenBatch())) {
             return true;
         }
         session.batchTaken(request.getBatch());
-        request.getUnusedList().stream().limit(MAXIMUM_UNUSED_ENTRIES).forEach(this::giveBack);
-        return mBucket.add(request.getLentTokens()) >= request.getLentTokens();
+        long returned = mBucket.add(Math.min(request.getReturnedTokens(), freedTokens));
+        long given =
+                request.getUnusedList().stream()
+                        .limit(MAXIMUM_UNUSED_ENTRIES)
+                        .mapToLong(this::giveBack)
+                        .sum();
+        long added = mBucket.add(request.getLentTokens());
+        mRecall.received(returned + given + added);
+        return added >= request.getLentTokens();
     }
 
-    private void giveBack(UnusedTokens unused) {
-        mRules.giveBack(mBucket, unused.getStamp(), Math.max(0, unused.getTokens()));
+    private long giveBack(UnusedTokens unused) {
+        return mRules.giveBack(mBucket, unused.getStamp(), Math.max(0, unused.getTokens()));
     }
 
     private long grant(HolderSession session, GrantRequest request, long nowMilliseconds) {
@@ -181,6 +215,7 @@
             mBucket.take(granted);
             session.grant(granted, nowMilliseconds + grantLifetime());
             countOutstanding();
+            mRecall.granted(granted);
         } else {
             session.owe(granted);
         }
--- a/limits/src/main/java/org/foxtailridge/limits/grant/HomeLink.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HomeLink.java
@@ -21,6 +21,7 @@
     private long mNumber;
     private long mSentMilliseconds = Long.MIN_VALUE / 2;
     private long mPausedUntilMilliseconds;
+    private long mWantedTokens;
     private boolean mPending;
     private int mFailures;
 
@@ -95,6 +96,15 @@
                 .setNumber(mNumber);
     }
 
+    /** Notes the tokens that the request under way asks for. */
+    void wanted(long tokens) {
+        mWantedTokens = tokens;
+    }
+
+    long wantedTokens() {
+        return mWantedTokens;
+    }
+
     /** Gives the request up if its answer is late; returns whether it did. */
     boolean giveUp(long nowMilliseconds) {
         boolean late = nowMilliseconds - mSentMilliseconds >= mSettings.answerTimeoutMilliseconds();
--- a/limits/src/main/java/org/foxtailridge/limits/grant/Homes.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/Homes.java
@@ -3,12 +3,14 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.foxtailridge.core.name.ClientAccountName;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.limits.HomeLease;
 import org.foxtailridge.limits.LimiterOutbox;
 import org.foxtailridge.limits.LimiterSettings;
 import org.foxtailridge.protocol.limits.GrantAnswer;
+import org.foxtailridge.protocol.limits.GrantRecall;
 import org.foxtailridge.protocol.limits.GrantRequest;
 import org.foxtailridge.protocol.limits.HomeHandover;
 import org.foxtailridge.protocol.limits.LimitsMessage;
@@ -88,10 +90,21 @@
         GrantAnswer answer =
                 bucket == null ? null : bucket.answer(sender, request, nowMilliseconds);
         if (answer != null) {
+            Set<NodeName> recalled = bucket.recall(sender, answer, nowMilliseconds);
+            recalled.forEach(holder -> mOutbox.send(holder, recallOf(request)));
             mOutbox.send(sender, LimitsMessage.newBuilder().setGrantAnswer(answer).build());
         }
     }
 
+    private static LimitsMessage recallOf(GrantRequest request) {
+        GrantRecall recall =
+                GrantRecall.newBuilder()
+                        .setAccount(request.getAccount())
+                        .setFencing(request.getFencing())
+                        .build();
+        return LimitsMessage.newBuilder().setGrantRecall(recall).build();
+    }
+
     void receive(HomeHandover handover, long nowMilliseconds) {
         ClientAccountName account = ClientAccountName.of(handover.getAccount());
         HomeBucket bucket = mBuckets.get(account);
--- a/limits/src/main/java/org/foxtailridge/limits/grant/UnusedBatch.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/UnusedBatch.java
@@ -18,6 +18,8 @@
     private final TreeMap<Long, Long> mUnderWay = new TreeMap<>();
     private long mBatch;
     private long mLentTokens;
+    private long mReturnedTokens;
+    private long mReturnedUnderWay;
     private boolean mIsUnderWay;
 
     void collect(long stamp, long tokens) {
@@ -29,8 +31,20 @@
         }
     }
 
+    /** Collects granted tokens that were not spent. */
+    void collectReturned(long tokens) {
+        mReturnedTokens += tokens;
+    }
+
+    /**
+     * Returns whether a batch waits to be taken; what is collected meanwhile goes into the next.
+     */
+    boolean isUnderWay() {
+        return mIsUnderWay;
+    }
+
     boolean hasCollected() {
-        return mIsUnderWay || !mCollected.isEmpty();
+        return mIsUnderWay || !mCollected.isEmpty() || mReturnedTokens > 0;
     }
 
     /** Puts the batch under way, or a new one with a loan from the floor, into a request. */
@@ -41,7 +55,7 @@
         if (!mIsUnderWay) {
             return;
         }
-        request.setBatch(mBatch).setLentTokens(mLentTokens);
+        request.setBatch(mBatch).setLentTokens(mLentTokens).setReturnedTokens(mReturnedUnderWay);
         mUnderWay.forEach(
                 (stamp, tokens) ->
                         request.addUnused(
@@ -62,16 +76,19 @@
         mCollected.clear();
         mUnderWay.clear();
         mIsUnderWay = false;
+        mReturnedTokens = 0;
         floor.endLoan(nowMilliseconds, 0);
     }
 
     private void start(Floor floor, long nowMilliseconds) {
         mLentTokens = floor.lend(nowMilliseconds);
-        if (mLentTokens == 0 && mCollected.isEmpty()) {
+        if (mLentTokens == 0 && mReturnedTokens == 0 && mCollected.isEmpty()) {
             return;
         }
         mBatch++;
         mIsUnderWay = true;
+        mReturnedUnderWay = mReturnedTokens;
+        mReturnedTokens = 0;
         mUnderWay.putAll(mCollected);
         mCollected.clear();
     }
--- a/limits/src/test/java/org/foxtailridge/limits/grant/HomeBucketTest.java
+++ b/limits/src/test/java/org/foxtailridge/limits/grant/HomeBucketTest.java
@@ -8,6 +8,7 @@
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.limits.HomeLease;
 import org.foxtailridge.limits.LimiterSettings;
+import org.foxtailridge.limits.bucket.TokenBucket;
 import org.foxtailridge.protocol.limits.GrantAnswer;
 import org.foxtailridge.protocol.limits.GrantRequest;
 import org.foxtailridge.protocol.limits.HomeHandover;
@@ -60,6 +61,72 @@
         assertThat(overAfterUnknownFormer(broken)).isPositive();
     }
 
+    @Test
+    void should_take_back_unspent_tokens_although_the_bucket_is_full() {
+        // GIVEN a full bucket of which 400 tokens are held elsewhere
+        HomeBucket home = home(new GrantRules(), OptionalLong.empty());
+        home.answer(HOLDER, request(1).setMinimumTokens(400).setWantedTokens(400).build(), 0);
+        // WHEN
+        home.answer(HOLDER, request(2).setBatch(1).setReturnedTokens(400).build(), 0);
+        GrantAnswer answer =
+                home.answer(
+                        HOLDER,
+                        request(3).setMinimumTokens(1_000).setWantedTokens(1_000).build(),
+                        0);
+        // THEN
+        assertThat(answer.getGrantedTokens()).isEqualTo(1_000);
+    }
+
+    @Test
+    void should_take_back_no_more_than_it_counted_for_the_holder() {
+        // GIVEN
+        HomeBucket home = home(new GrantRules(), OptionalLong.empty());
+        home.answer(HOLDER, request(1).setMinimumTokens(900).setWantedTokens(900).build(), 0);
+        home.answer(HOLDER, request(2).setHeldTokens(100).build(), 0);
+        // WHEN only 100 are left at the holder
+        home.answer(HOLDER, request(3).setBatch(1).setReturnedTokens(900).build(), 0);
+        GrantAnswer answer =
+                home.answer(
+                        HOLDER, request(4).setMinimumTokens(201).setWantedTokens(201).build(), 0);
+        // THEN
+        assertThat(answer.getGrantedTokens()).isZero();
+    }
+
+    @Test
+    void should_recall_tokens_from_other_holders_when_it_has_too_few() {
+        // GIVEN
+        HomeBucket home = home(new GrantRules(), OptionalLong.empty());
+        NodeName other = NodeName.of("other");
+        home.answer(other, request(1).setMinimumTokens(900).setWantedTokens(900).build(), 0);
+        GrantRequest request = request(1).setMinimumTokens(500).setWantedTokens(500).build();
+        GrantAnswer answer = home.answer(HOLDER, request, 0);
+        // WHEN
+        var first = home.recall(HOLDER, answer, 0);
+        var second = home.recall(HOLDER, answer, 1);
+        // THEN
+        assertThat(first).containsExactly(other);
+        assertThat(second).isEmpty();
+    }
+
+    @Test
+    void should_not_take_unused_tokens_that_a_full_bucket_could_not_have_held() {
+        assertThat(overAfterFullBetween(new GrantRules())).isZero();
+    }
+
+    @Test
+    void should_see_unused_tokens_taken_without_bound() {
+        // GIVEN
+        GrantRules broken =
+                new GrantRules() {
+                    @Override
+                    long giveBack(TokenBucket bucket, long stamp, long tokens) {
+                        return bucket.add(tokens);
+                    }
+                };
+        // THEN
+        assertThat(overAfterFullBetween(broken)).isPositive();
+    }
+
     @Test
     void should_drop_a_doubled_request() {
         // GIVEN
@@ -141,6 +208,25 @@
         return answer.getGrantedTokens();
     }
 
+    /** Uses the full bucket at one instant with older unused tokens; returns what exceeds it. */
+    private static long overAfterFullBetween(GrantRules rules) {
+        HomeBucket home = home(rules, OptionalLong.empty());
+        GrantRequest.Builder all = request(1).setMinimumTokens(1_000).setWantedTokens(1_000);
+        GrantAnswer first = home.answer(HOLDER, all.build(), 0);
+        home.answer(HOLDER, request(2).build(), 0);
+        GrantAnswer second = home.answer(HOLDER, all.setNumber(3).build(), 10_000);
+        UnusedTokens unused =
+                UnusedTokens.newBuilder().setStamp(first.getStamp()).setTokens(1_000).build();
+        home.answer(HOLDER, request(4).setBatch(1).addUnused(unused).build(), 10_000);
+        GrantAnswer third =
+                home.answer(
+                        HOLDER,
+                        request(5).setMinimumTokens(1).setWantedTokens(1_000).build(),
+                        10_000);
+        long used = second.getGrantedTokens() + third.getGrantedTokens();
+        return Math.max(0, used - PARTS.homeCapacityTokens());
+    }
+
     private static HomeBucket home(GrantRules rules, OptionalLong former) {
         HomeLease lease = new HomeLease(ACCOUNT, 7, Instant.ofEpochMilli(60_000), former);
         return new HomeBucket(SETTINGS, rules, PARTS, lease, 0);
--- a/limits/src/test/java/org/foxtailridge/limits/grant/LimitsFleet.java
+++ b/limits/src/test/java/org/foxtailridge/limits/grant/LimitsFleet.java
@@ -264,6 +264,7 @@
             mCallsPerStep = mRandom.nextBoolean() ? 0 : 1 + mRandom.nextInt(12);
             mUsesAll = mAlwaysUsesAll || mRandom.nextBoolean();
             mFavourite = mRandom.nextInt(2 * NODES);
+            pauseWithGrantUnderWay();
         }
         boolean trickle = mCallsPerStep == 0 && mRandom.nextInt(8) == 0;
         for (int call = trickle ? 1 : mCallsPerStep; call > 0; call--) {
@@ -274,6 +275,15 @@
         }
     }
 
+    /** Lets a node ask for tokens and pause until they have lapsed. */
+    private void pauseWithGrantUnderWay() {
+        FleetNode node = mNodes.get(mRandom.nextInt(mNodes.size()));
+        if (mFaultsIn < FAULTS_IN[2] && mRandom.nextInt(3) == 0) {
+            node.deliver(() -> call(node, mLimit.burstTokens() / 3), mNow);
+            node.mPausedUntil = Math.max(node.mPausedUntil, mNow + mRandom.nextInt(1_500));
+        }
+    }
+
     private void call(FleetNode node, long tokens) {
         node.mLimiter.reserve(ACCOUNT, tokens, admission -> decided(node, tokens, admission));
     }
