--- a/bench/src/main/java/org/foxtailridge/bench/limits/LimiterPolicy.java
+++ b/bench/src/main/java/org/foxtailridge/bench/limits/LimiterPolicy.java
@@ -15,6 +15,9 @@
     /** Most reservations that are not settled, large enough to play no part. */
     int MAXIMUM_OPEN_RESERVATIONS = 1_000_000;
 
+    /** Part of a limit that is split into floors, in percent. */
+    int DEFAULT_FLOOR_PERCENT = 10;
+
     /** Returns the limiter of a new process. */
     TokenLimiter limiter(NodeName node, long incarnation, Clock clock, LimiterOutbox outbox);
 
@@ -31,12 +34,18 @@
                 new EqualSplitLimiter(clock, nodes, MAXIMUM_OPEN_RESERVATIONS);
     }
 
-    /** Returns grants of a home node with floors over a number of nodes. */
+    /** Returns grants of a home node with floors of the default size over a number of nodes. */
     static LimiterPolicy grants(int nodes) {
+        return grants(nodes, DEFAULT_FLOOR_PERCENT);
+    }
+
+    /** Returns grants of a home node with floors over a number of nodes. */
+    static LimiterPolicy grants(int nodes, int floorPercent) {
         return (node, incarnation, clock, outbox) ->
                 GrantLimiter.create(
                         LimiterSettings.builder(node, incarnation)
                                 .maximumNodes(nodes)
+                                .floorPercent(floorPercent)
                                 .maximumOpenReservations(MAXIMUM_OPEN_RESERVATIONS)
                                 .build(),
                         clock,
--- a/bench/src/main/java/org/foxtailridge/bench/limits/LimitsComparison.java
+++ b/bench/src/main/java/org/foxtailridge/bench/limits/LimitsComparison.java
@@ -20,6 +20,7 @@
     private static final double NEAR = 0.95;
     private static final double OVER = 4.0;
     private static final int PERCENT = 100;
+    private static final int LARGE_FLOOR_PERCENT = 40;
     private static final List<String> COLUMNS =
             List.of(
                     "demand",
@@ -123,6 +124,7 @@
         policies.put("single bucket", LimiterPolicy::singleBucket);
         policies.put("equal split", () -> LimiterPolicy.equalSplit(nodes));
         policies.put("grants", () -> LimiterPolicy.grants(nodes));
+        policies.put("grants, floor 40 %", () -> LimiterPolicy.grants(nodes, LARGE_FLOOR_PERCENT));
         return policies;
     }
 
