Bound the bytes of kept answers

50,000 keys with answers of 16 KiB would have taken 800 MB of a node.

A table now keeps at most maximumKeptBytes (16 MiB) of answers; the oldest give way, and a repetition of such a call is told that the outcome is unknown and is never run again. Headers count towards the size of an answer.

Tests: claim tests passed, with one new case for the bound.

--- a/execution/src/main/java/org/foxtailridge/execution/claim/CallOutcome.java
+++ b/execution/src/main/java/org/foxtailridge/execution/claim/CallOutcome.java
@@ -20,6 +20,15 @@
             headers = List.copyOf(headers);
             Objects.requireNonNull(body, "body");
         }
+
+        /** Returns the bytes of body and headers. */
+        long bytes() {
+            long headerCharacters =
+                    headers.stream()
+                            .mapToLong(header -> header.name().length() + header.value().length())
+                            .sum();
+            return body.length + headerCharacters;
+        }
     }
 
     /** The endpoint has said, or it is certain otherwise, that no endpoint began. */
--- a/execution/src/main/java/org/foxtailridge/execution/claim/ClaimKeeper.java
+++ b/execution/src/main/java/org/foxtailridge/execution/claim/ClaimKeeper.java
@@ -338,8 +338,8 @@
     }
 
     private void answer(ClaimCall call, ClaimRecord record) {
-        if (record.body() == null) {
-            refuse(call, new OutcomeUnknownException("its answer was too large to keep"));
+        if (!record.hasAnswer()) {
+            refuse(call, new OutcomeUnknownException("its answer is not kept"));
             return;
         }
         CallOutcome.Answered answer =
@@ -349,7 +349,7 @@
 
     private ClaimRecord outcomeRecord(OwnClaim own, CallOutcome outcome) {
         if (outcome instanceof CallOutcome.Answered answer) {
-            int maximum = mSettings.maximumBodyBytes();
+            int maximum = mSettings.maximumAnswerBytes();
             return ClaimRecord.answered(own.id(), own.key(), answer, maximum);
         }
         return ClaimRecord.unknown(own.id(), own.key());
--- a/execution/src/main/java/org/foxtailridge/execution/claim/ClaimRecord.java
+++ b/execution/src/main/java/org/foxtailridge/execution/claim/ClaimRecord.java
@@ -46,10 +46,10 @@
         return new ClaimRecord(FORMAT, Type.UNKNOWN, id, claim, key, null, null, null, null);
     }
 
-    /** Returns an outcome record; a body above the bound is left out. */
+    /** Returns an outcome record; an answer above the bound is left out but for its status. */
     static ClaimRecord answered(
-            String claim, String key, CallOutcome.Answered answer, int maximumBodyBytes) {
-        byte[] body = answer.body().length <= maximumBodyBytes ? answer.body() : null;
+            String claim, String key, CallOutcome.Answered answer, int maximumAnswerBytes) {
+        boolean kept = answer.bytes() <= maximumAnswerBytes;
         return new ClaimRecord(
                 FORMAT,
                 Type.ANSWERED,
@@ -58,8 +58,23 @@
                 key,
                 null,
                 answer.status(),
-                answer.headers(),
-                body);
+                kept ? answer.headers() : null,
+                kept ? answer.body() : null);
+    }
+
+    /** Returns this outcome without the answer. */
+    ClaimRecord withoutAnswer() {
+        return new ClaimRecord(format, type, id, claim, key, fingerprint, status, null, null);
+    }
+
+    /** Returns whether an answer is kept. */
+    boolean hasAnswer() {
+        return body != null && headers != null;
+    }
+
+    /** Returns the bytes of the answer that is kept. */
+    long answerBytes() {
+        return hasAnswer() ? new CallOutcome.Answered(status, headers, body).bytes() : 0;
     }
 
     /** What a record says. */
--- a/execution/src/main/java/org/foxtailridge/execution/claim/ClaimSettings.java
+++ b/execution/src/main/java/org/foxtailridge/execution/claim/ClaimSettings.java
@@ -22,7 +22,8 @@
  * @param windowMilliseconds time for which keys are kept; at most the retention of the log
  * @param maximumKeys most keys kept
  * @param maximumCalls most calls of this node that are claimed or wait
- * @param maximumBodyBytes largest body of an answer that is kept for repetition
+ * @param maximumAnswerBytes largest answer, body and headers, that is kept for repetition
+ * @param maximumKeptBytes most bytes of all answers that are kept; the oldest give way
  */
 public record ClaimSettings(
         NodeName node,
@@ -36,20 +37,22 @@
         long windowMilliseconds,
         int maximumKeys,
         int maximumCalls,
-        int maximumBodyBytes) {
+        int maximumAnswerBytes,
+        long maximumKeptBytes) {
     /** Checks the ranges. */
     public ClaimSettings {
         Objects.requireNonNull(node, "node");
         requireAtLeast("validityMilliseconds", validityMilliseconds, 1);
         requireAtLeast("appendIntervalMilliseconds", appendIntervalMilliseconds, 0);
         requireAtLeast("maximumAppendRecords", maximumAppendRecords, 1);
-        requireAtLeast("maximumAppendBytes", maximumAppendBytes, 2L * maximumBodyBytes);
+        requireAtLeast("maximumAppendBytes", maximumAppendBytes, 2L * maximumAnswerBytes);
         requireAtLeast("waitMilliseconds", waitMilliseconds, 0);
         requireAtLeast("settleMilliseconds", settleMilliseconds, validityMilliseconds);
         requireAtLeast("windowMilliseconds", windowMilliseconds, settleMilliseconds);
         requireAtLeast("maximumKeys", maximumKeys, 10);
         requireAtLeast("maximumCalls", maximumCalls, 1);
-        requireAtLeast("maximumBodyBytes", maximumBodyBytes, 0);
+        requireAtLeast("maximumAnswerBytes", maximumAnswerBytes, 0);
+        requireAtLeast("maximumKeptBytes", maximumKeptBytes, maximumAnswerBytes);
     }
 
     /** Returns a builder with defaults. */
@@ -77,7 +80,8 @@
         private long mWindowMilliseconds = 3_600_000;
         private int mMaximumKeys = 50_000;
         private int mMaximumCalls = 5_000;
-        private int mMaximumBodyBytes = 16 * 1024;
+        private int mMaximumAnswerBytes = 16 * 1024;
+        private long mMaximumKeptBytes = 16 * 1024 * 1024;
 
         private Builder(NodeName node, long incarnation) {
             mNode = node;
@@ -138,9 +142,15 @@
             return this;
         }
 
-        /** Sets the largest body that is kept, in bytes. */
-        public Builder maximumBodyBytes(int bytes) {
-            mMaximumBodyBytes = bytes;
+        /** Sets the most bytes of all answers that are kept. */
+        public Builder maximumKeptBytes(long bytes) {
+            mMaximumKeptBytes = bytes;
+            return this;
+        }
+
+        /** Sets the largest answer that is kept, in bytes. */
+        public Builder maximumAnswerBytes(int bytes) {
+            mMaximumAnswerBytes = bytes;
             return this;
         }
 
@@ -158,7 +168,8 @@
                     mWindowMilliseconds,
                     mMaximumKeys,
                     mMaximumCalls,
-                    mMaximumBodyBytes);
+                    mMaximumAnswerBytes,
+                    mMaximumKeptBytes);
         }
     }
 }
--- a/execution/src/main/java/org/foxtailridge/execution/claim/ClaimTable.java
+++ b/execution/src/main/java/org/foxtailridge/execution/claim/ClaimTable.java
@@ -3,8 +3,10 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The state of all keys, folded from the log in order; every reader of the same records comes to
@@ -27,6 +29,8 @@
                     return size() > mSettings.maximumKeys();
                 }
             };
+    private final Set<String> mAnswers = new LinkedHashSet<>();
+    private long mKeptBytes;
     private long mLogMilliseconds = Long.MIN_VALUE;
 
     ClaimTable(ClaimSettings settings, ClaimRules rules) {
@@ -84,6 +88,28 @@
         if (stands) {
             ClaimRecord answer = state == KeyEntry.State.ANSWERED ? record : null;
             mEntries.put(record.key(), entry.ended(state, answer));
+            keepAnswer(record);
+        }
+    }
+
+    private void keepAnswer(ClaimRecord record) {
+        if (record.answerBytes() == 0) {
+            return;
+        }
+        mAnswers.add(record.key());
+        mKeptBytes += record.answerBytes();
+        while (mKeptBytes > mSettings.maximumKeptBytes()) {
+            Iterator<String> oldest = mAnswers.iterator();
+            dropAnswer(oldest.next());
+            oldest.remove();
+        }
+    }
+
+    private void dropAnswer(String key) {
+        KeyEntry entry = mEntries.get(key);
+        if (entry != null && entry.answer() != null) {
+            mKeptBytes -= entry.answer().answerBytes();
+            mEntries.put(key, entry.ended(entry.state(), entry.answer().withoutAnswer()));
         }
     }
 
@@ -102,11 +128,20 @@
         Iterator<Map.Entry<String, KeyEntry>> entries = mEntries.entrySet().iterator();
         Map.Entry<String, KeyEntry> first = entries.next();
         entries.remove();
+        if (first.getValue().answer() != null && first.getValue().answer().answerBytes() > 0) {
+            mKeptBytes -= first.getValue().answer().answerBytes();
+            mAnswers.remove(first.getKey());
+        }
         if (first.getValue().state() != KeyEntry.State.RELEASED) {
             mExpired.put(first.getKey(), first.getValue().ended(KeyEntry.State.EXPIRED, null));
         }
     }
 
+    /** Returns the bytes of all answers that are kept. */
+    long keptBytes() {
+        return mKeptBytes;
+    }
+
     /** Returns a copy of the state, for comparison in tests. */
     Map<String, KeyEntry> snapshot() {
         Map<String, KeyEntry> all = new HashMap<>(mExpired);
--- a/execution/src/test/java/org/foxtailridge/execution/claim/ClaimKeeperTest.java
+++ b/execution/src/test/java/org/foxtailridge/execution/claim/ClaimKeeperTest.java
@@ -187,6 +187,27 @@
         assertRefused(decisions, ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN);
     }
 
+    @Test
+    void should_bound_the_bytes_of_answers_and_never_run_a_call_again_for_it() {
+        // GIVEN answers of 600 bytes, of which 1,000 bytes in all are kept
+        ClaimKeeper small =
+                ClaimKeeper.create(
+                        ClaimSettings.builder(NodeName.of("node-3"), 3)
+                                .maximumAnswerBytes(800)
+                                .maximumKeptBytes(1_000)
+                                .build(),
+                        mClock);
+        serve(small, 1, "first", "x".repeat(600));
+        serve(small, 2, "second", "y".repeat(600));
+        // WHEN
+        List<ClaimDecision> first = small.callArrived(call(3, "first", "a"));
+        List<ClaimDecision> second = small.callArrived(call(4, "second", "a"));
+        // THEN
+        assertThat(small.table().keptBytes()).isEqualTo(600);
+        assertRefused(first, ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN);
+        assertThat(second).hasOnlyElementsOfType(ClaimDecision.AnswerWith.class);
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
