--- a/placement/src/main/java/org/foxtailridge/placement/Fleet.java
+++ b/placement/src/main/java/org/foxtailridge/placement/Fleet.java
@@ -90,16 +90,27 @@
                 .toList();
     }
 
-    /** Returns whether an unload leaves another serving copy of a listed model. */
+    /** Returns whether an unload takes no copy, or leaves another copy of a listed model. */
     boolean mayUnload(Order unload) {
         String model = unload.artifact().model();
-        if (!unload.artifact().isModel() || !mModels.containsKey(model)) {
+        boolean takesCopy =
+                history(unload.endpoint()).report().map(LoadReport::residents).stream()
+                        .flatMap(List::stream)
+                        .anyMatch(resident -> resident.artifact().equals(unload.artifact()));
+        if (!unload.artifact().isModel() || !mModels.containsKey(model) || !takesCopy) {
             return true;
         }
         return mEndpoints.keySet().stream()
-                .filter(endpoint -> !endpoint.equals(unload.endpoint()) && isLive(endpoint))
-                .flatMap(endpoint -> serving(endpoint).stream())
-                .anyMatch(artifact -> artifact.isModel() && artifact.model().equals(model));
+                .filter(this::isLive)
+                .anyMatch(endpoint -> servesBeside(endpoint, unload));
+    }
+
+    private boolean servesBeside(String endpoint, Order unload) {
+        boolean here = endpoint.equals(unload.endpoint());
+        return serving(endpoint).stream()
+                .filter(artifact -> !here || !artifact.equals(unload.artifact()))
+                .filter(Artifact::isModel)
+                .anyMatch(artifact -> artifact.model().equals(unload.artifact().model()));
     }
 
     /** Returns whether a model is listed. */
--- a/placement/src/main/java/org/foxtailridge/placement/Placement.java
+++ b/placement/src/main/java/org/foxtailridge/placement/Placement.java
@@ -4,10 +4,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -71,18 +73,21 @@
     private final DemandTracker mDemand;
     private final Map<String, EndpointOrders> mOrders = new TreeMap<>();
     private final Map<String, AdapterCache> mAdapters = new HashMap<>();
+    private final Set<String> mChanged = new LinkedHashSet<>();
     private WeightStoreLimits mLimits = CAUTIOUS_LIMITS;
     private Instant mPlannedAt = Instant.MIN;
+    private Instant mRecordAt;
     private InfeasiblePlacementException mInfeasible;
 
     private Placement(Builder builder) {
         mLeases = builder.mLeases;
         mOutbox = builder.mOutbox;
         mClock = builder.mClock;
+        mRecordAt = mClock.instant();
         mPlannerSettings = builder.mPlannerSettings;
         mPlanInterval = builder.mPlanInterval;
         OrderSettings settings = builder.mOrderSettings;
-        mHistory = new OrderHistory(settings);
+        mHistory = builder.mHistories.apply(settings);
         mFleet = new Fleet(mHistory);
         mPlanner = new PlacementPlanner(mPlannerSettings, mClock);
         mDemand = new DemandTracker(builder.mDemandTimeConstant, builder.mDemandReportLife, mClock);
@@ -121,7 +126,7 @@
         }
         for (String endpoint : mFleet.endpoints()) {
             mOrders.computeIfAbsent(endpoint, name -> mOrdersFactory.apply(mFleet.history(name)));
-            refresh(endpoint);
+            mChanged.add(endpoint);
         }
         mInfeasible = Feasibility.of(configuration, mPlannerSettings).failure().orElse(null);
         if (mInfeasible == null) {
@@ -142,7 +147,7 @@
     /** Notes whether an endpoint answers. */
     public void live(String endpoint, boolean live) {
         if (mFleet.live(endpoint, live)) {
-            refresh(endpoint);
+            mChanged.add(endpoint);
         }
     }
 
@@ -153,16 +158,17 @@
         }
         mHistory.report(report);
         mOrders.get(report.endpoint()).reported();
-        refresh(report.endpoint());
+        mChanged.add(report.endpoint());
     }
 
     /** Applies a record of the stream {@code orders}, in the order of the log. */
     public void record(OrderRecord record, long logMilliseconds) {
+        mRecordAt = mClock.instant();
         Admission admission = mHistory.apply(record, logMilliseconds);
         EndpointOrders orders = mOrders.get(record.endpoint());
         if (orders != null) {
             orders.recorded(record, admission);
-            refresh(record.endpoint());
+            mChanged.add(record.endpoint());
         }
     }
 
@@ -213,8 +219,9 @@
 
     /** Does what is due. */
     public void tick() {
-        mOrders.values().forEach(EndpointOrders::tick);
         Instant now = mClock.instant();
+        mHistory.forgetLate(Duration.between(mRecordAt, now));
+        mOrders.values().forEach(EndpointOrders::tick);
         boolean plans = mLeases.planning().filter(lease -> lease.isGoodAt(now)).isPresent();
         boolean due =
                 mPlannedAt.equals(Instant.MIN) || !now.isBefore(mPlannedAt.plus(mPlanInterval));
@@ -230,6 +237,8 @@
     }
 
     private void plan() {
+        mChanged.stream().filter(mFleet::isListed).forEach(this::showPlanner);
+        mChanged.clear();
         mDemand.smooth().forEach(mPlanner::demand);
         List<OrderRequest> steps = mPlanner.plan(mLimits.loadsAtOnce());
         steps.forEach(step -> mOutbox.forward(PlacementSteps.toMessage(step)));
@@ -247,14 +256,12 @@
         return unwitnessed ? OrderRequest.Answer.LAST_COPY : orders.request(request);
     }
 
-    private void refresh(String endpoint) {
-        if (mFleet.isListed(endpoint)) {
-            mPlanner.update(
-                    EndpointViews.of(
-                            mFleet.endpoint(endpoint),
-                            mFleet.history(endpoint),
-                            mFleet.isLive(endpoint)));
-        }
+    private void showPlanner(String endpoint) {
+        mPlanner.update(
+                EndpointViews.of(
+                        mFleet.endpoint(endpoint),
+                        mFleet.history(endpoint),
+                        mFleet.isLive(endpoint)));
     }
 
     /** Creates the orders of an endpoint. */
@@ -281,6 +288,7 @@
         private Duration mDemandTimeConstant = Duration.ofMinutes(1);
         private Duration mDemandReportLife = Duration.ofSeconds(30);
         private OrdersFactory mOrdersFactory = EndpointOrders::new;
+        private Function<OrderSettings, OrderHistory> mHistories = OrderHistory::new;
 
         private Builder(DutyLeases leases, PlacementOutbox outbox, Clock clock) {
             mLeases = Objects.requireNonNull(leases, "leases");
@@ -318,6 +326,11 @@
             return this;
         }
 
+        Builder histories(Function<OrderSettings, OrderHistory> histories) {
+            mHistories = histories;
+            return this;
+        }
+
         Builder ordersFactory(OrdersFactory ordersFactory) {
             mOrdersFactory = ordersFactory;
             return this;
--- a/placement/src/main/java/org/foxtailridge/placement/memory/MemoryLedger.java
+++ b/placement/src/main/java/org/foxtailridge/placement/memory/MemoryLedger.java
@@ -26,7 +26,7 @@
  * ledger.confirmLoad("order-1", incarnation);
  * }</pre>
  */
-public final class MemoryLedger {
+public class MemoryLedger {
     private final Map<String, Charge> mInFlight = new HashMap<>();
     private final Map<String, LateCharge> mLate = new HashMap<>();
     private final Map<Artifact, Long> mConfirmed = new HashMap<>();
--- a/placement/src/main/java/org/foxtailridge/placement/order/Admission.java
+++ b/placement/src/main/java/org/foxtailridge/placement/order/Admission.java
@@ -33,7 +33,7 @@
         ADMITTED,
         /** A holder with a higher fencing number has taken the endpoint over. */
         OLD_FENCING,
-        /** The log holds the record twice. */
+        /** The log holds the record twice, or the order has ended. */
         DUPLICATE,
         /** Another order for the same artifact has not ended. */
         CONFLICT,
--- a/placement/src/main/java/org/foxtailridge/placement/order/EndpointOrders.java
+++ b/placement/src/main/java/org/foxtailridge/placement/order/EndpointOrders.java
@@ -36,13 +36,14 @@
  */
 public class EndpointOrders {
     private static final int REPORTS_TO_CONFIRM = 2;
+    private static final int MOST_DOUBLINGS = 5;
 
     private final String mEndpoint;
     private final EndpointHistory mHistory;
     private final DutyLeases mLeases;
     private final OrderOutbox mOutbox;
     private final UnloadGuard mGuard;
-    private final Supplier<WeightStoreLimits> mLimits;
+    private final OrderJournal mJournal;
     private final OrderSettings mSettings;
     private final Clock mClock;
     private final Map<String, TrackedOrder> mTracked = new LinkedHashMap<>();
@@ -50,7 +51,6 @@
     private boolean mHeld;
     private long mTakenIncarnation;
     private Instant mTakenAt = Instant.MIN;
-    private long mSequence;
 
     /** Creates the state machine of one endpoint; it holds nothing until a lease is good. */
     public EndpointOrders(
@@ -66,7 +66,7 @@
         mLeases = Objects.requireNonNull(leases, "leases");
         mOutbox = Objects.requireNonNull(outbox, "outbox");
         mGuard = Objects.requireNonNull(guard, "guard");
-        mLimits = Objects.requireNonNull(limits, "limits");
+        mJournal = new OrderJournal(mEndpoint, outbox, limits);
         mSettings = Objects.requireNonNull(settings, "settings");
         mClock = Objects.requireNonNull(clock, "clock");
     }
@@ -82,10 +82,9 @@
         if (answer != OrderRequest.Answer.ACCEPTED) {
             return answer;
         }
-        mSequence++;
         Order order =
                 new Order(
-                        mEndpoint + "-" + mFencing + "-" + mSequence,
+                        mEndpoint + "-" + mFencing + "-" + mJournal.nextNumber(),
                         mEndpoint,
                         mFencing,
                         request.action(),
@@ -97,7 +96,7 @@
                         order, request.witnesses(), TrackedOrder.Stage.INTENDED, mClock.instant());
         mTracked.put(order.orderId(), tracked);
         chargeBeforeRecord(order);
-        appendIntent(tracked);
+        mJournal.intended(mFencing, tracked);
         return answer;
     }
 
@@ -128,7 +127,9 @@
             mHeld = mHeld || admission.isAdmitted();
             inherit();
         } else if (record instanceof OrderRecord.OrderResolved resolved) {
-            mTracked.remove(resolved.order().orderId());
+            if (admission.isAdmitted()) {
+                mTracked.remove(resolved.order().orderId());
+            }
         } else if (record instanceof OrderRecord.OrderIntended intended) {
             intended(intended, admission);
         }
@@ -158,10 +159,7 @@
             return;
         }
         switch (answer) {
-            case LOST -> {
-                tracked.mMayArriveLate = true;
-                unresolved(tracked);
-            }
+            case LOST -> lost(tracked);
             case OLD_FENCING -> {
                 tracked.mFenced = true;
                 unresolved(tracked);
@@ -201,9 +199,28 @@
                         .anyMatch(tracked -> tracked.mOrder.artifact().equals(artifact));
     }
 
-    /** Returns whether an order may be sent at this instant. */
-    boolean maySend(DutyLease lease) {
-        return lease.isGoodAt(mClock.instant());
+    /** Returns the lease of the duty, if it is good at this instant. */
+    Optional<DutyLease> goodLease() {
+        return mLeases.ordersOf(mEndpoint).filter(lease -> lease.isGoodAt(mClock.instant()));
+    }
+
+    /** Returns how many reports after an answer confirm a load. */
+    int reportsToConfirm() {
+        return REPORTS_TO_CONFIRM;
+    }
+
+    /** Notes that a transmission had no answer. */
+    void lost(TrackedOrder tracked) {
+        tracked.mMayArriveLate = true;
+        unresolved(tracked);
+    }
+
+    /** Records the end of an order, again and again until the record is read back. */
+    void resolve(TrackedOrder tracked, OrderOutcome outcome) {
+        tracked.moveTo(TrackedOrder.Stage.RESOLVING);
+        tracked.mOutcome = outcome;
+        tracked.mEndedIn = incarnation();
+        appendResolution(tracked);
     }
 
     /** Charges an order before its record is appended. */
@@ -219,10 +236,10 @@
             resolve(tracked, OrderOutcome.VOID);
         } else if (!tracked.mMayArriveLate) {
             resolve(tracked, OrderOutcome.FAILED);
-        } else if (isRoomFor(tracked.mOrder)) {
+        } else if (isRoomFor(tracked.mOrder) && isRepeatDue(tracked)) {
             tracked.moveTo(TrackedOrder.Stage.INTENDED);
             tracked.mAppendedAt = mClock.instant();
-            appendIntent(tracked);
+            mJournal.intended(mFencing, tracked);
         }
     }
 
@@ -243,10 +260,6 @@
         return OrderRequest.Answer.ACCEPTED;
     }
 
-    private Optional<DutyLease> goodLease() {
-        return mLeases.ordersOf(mEndpoint).filter(lease -> lease.isGoodAt(mClock.instant()));
-    }
-
     private void letGo() {
         mHeld = false;
         mTakenAt = Instant.MIN;
@@ -258,11 +271,23 @@
         return !order.isLoad() || mHistory.ledger().freeBytes() >= 0;
     }
 
+    /** Returns whether the order may be sent again; the time between repeats doubles. */
+    private boolean isRepeatDue(TrackedOrder tracked) {
+        Instant now = mClock.instant();
+        if (now.isBefore(tracked.mRepeatAt)) {
+            return false;
+        }
+        Duration pause = mSettings.queryInterval().multipliedBy(1L << tracked.mRepeats);
+        tracked.mRepeats = Math.min(tracked.mRepeats + 1, MOST_DOUBLINGS);
+        tracked.mRepeatAt = now.plus(pause);
+        return true;
+    }
+
     private void confirm(TrackedOrder tracked) {
         tracked.mReportsSinceDone++;
         if (tracked.mAskedIn != incarnation()) {
             unresolved(tracked);
-        } else if (tracked.mReportsSinceDone >= REPORTS_TO_CONFIRM) {
+        } else if (tracked.mReportsSinceDone >= reportsToConfirm()) {
             resolve(tracked, OrderOutcome.DONE);
         }
     }
@@ -281,18 +306,9 @@
     }
 
     private void appendTaken() {
-        mSequence++;
         mTakenAt = mClock.instant();
         mTakenIncarnation = incarnation();
-        mOutbox.append(
-                new OrderRecord.EndpointTaken(
-                        OrderRecordCodec.FORMAT,
-                        mEndpoint + "-" + mFencing + "-taken-" + mSequence,
-                        mEndpoint,
-                        mFencing,
-                        mTakenIncarnation,
-                        servingModels(),
-                        List.copyOf(mHistory.unresolved())));
+        mJournal.taken(mFencing, mTakenIncarnation, servingModels(), mHistory.unresolved());
     }
 
     private List<Artifact> servingModels() {
@@ -385,7 +401,7 @@
         }
         if (now.isAfter(tracked.mSendBefore) || !isSafe(tracked)) {
             giveUpSending(tracked);
-        } else if (maySend(lease)) {
+        } else {
             tracked.moveTo(TrackedOrder.Stage.SENT);
             tracked.mWasSent = true;
             tracked.mAskedAt = now;
@@ -412,7 +428,7 @@
         if (!isBefore(tracked.mAskedAt, mSettings.queryInterval())) {
             tracked.mAskedAt = mClock.instant();
             tracked.mAskedIn = incarnation();
-            tracked.mQuery = ++mSequence;
+            tracked.mQuery = mJournal.nextNumber();
             mOutbox.query(mEndpoint, tracked.mOrder.orderId(), tracked.mQuery);
         }
     }
@@ -445,39 +461,9 @@
         }
     }
 
-    private void resolve(TrackedOrder tracked, OrderOutcome outcome) {
-        tracked.moveTo(TrackedOrder.Stage.RESOLVING);
-        tracked.mOutcome = outcome;
-        tracked.mEndedIn = incarnation();
-        appendResolution(tracked);
-    }
-
     private void appendResolution(TrackedOrder tracked) {
         tracked.mAppendedAt = mClock.instant();
-        mSequence++;
-        mOutbox.append(
-                new OrderRecord.OrderResolved(
-                        OrderRecordCodec.FORMAT,
-                        tracked.mOrder.orderId() + "-resolved-" + mSequence,
-                        mEndpoint,
-                        mFencing,
-                        tracked.mOrder,
-                        tracked.mOutcome,
-                        tracked.mEndedIn,
-                        tracked.mMayArriveLate));
-    }
-
-    private void appendIntent(TrackedOrder tracked) {
-        mSequence++;
-        mOutbox.append(
-                new OrderRecord.OrderIntended(
-                        OrderRecordCodec.FORMAT,
-                        tracked.mOrder.orderId() + "-intended-" + mSequence,
-                        mEndpoint,
-                        mFencing,
-                        tracked.mOrder,
-                        tracked.mWitnesses,
-                        mLimits.get()));
+        mJournal.resolved(mFencing, tracked);
     }
 
     private long incarnation() {
--- a/placement/src/main/java/org/foxtailridge/placement/order/TrackedOrder.java
+++ b/placement/src/main/java/org/foxtailridge/placement/order/TrackedOrder.java
@@ -29,6 +29,8 @@
     long mQuery;
     long mAskedIn;
     int mReportsSinceDone;
+    int mRepeats;
+    Instant mRepeatAt = Instant.EPOCH;
     OrderOutcome mOutcome;
     long mEndedIn;
 
--- a/placement/src/main/java/org/foxtailridge/placement/plan/ReservationPhase.java
+++ b/placement/src/main/java/org/foxtailridge/placement/plan/ReservationPhase.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.placement.plan;
 
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -15,10 +16,14 @@
                 .current(models.keySet(), draft.mNow)
                 .forEach(
                         (model, reservation) ->
-                                use(draft, models.get(model), slots.get(reservation.endpoint())));
+                                use(
+                                        draft,
+                                        models.get(model),
+                                        slots.get(reservation.endpoint()),
+                                        reservation.startBy()));
     }
 
-    private static void use(Draft draft, ModelState model, Slot slot) {
+    private static void use(Draft draft, ModelState model, Slot slot, Instant startBy) {
         if (slot == null || !slot.mView.takesWork() || slot.holdsListed(model)) {
             draft.mReservations.remove(model.name());
         } else if (draft.fits(model, slot) && draft.isEligible(model, slot)) {
@@ -26,10 +31,18 @@
                 draft.mReservations.remove(model.name());
                 draft.load(model, slot);
             }
+        } else if (isStalled(draft, slot, startBy)) {
+            draft.mReservations.remove(model.name());
         } else {
             slot.mFreeBytes -= model.mNeed.footprintBytes();
             draft.addComing(model, slot);
             draft.countComing(1);
         }
     }
+
+    /** Returns whether nothing is on its way out although it should be, as when a step was lost. */
+    private static boolean isStalled(Draft draft, Slot slot, Instant startBy) {
+        return !draft.mNow.isBefore(startBy)
+                && slot.mHolders.stream().noneMatch(holder -> holder.mState == CopyState.GOING);
+    }
 }
--- a/placement/src/main/java/org/foxtailridge/placement/plan/Reservations.java
+++ b/placement/src/main/java/org/foxtailridge/placement/plan/Reservations.java
@@ -8,6 +8,8 @@
 
 /** Room on endpoints that is being cleared for a model, one place for each model. */
 final class Reservations {
+    private static final Duration TIME_TO_START = Duration.ofSeconds(5);
+
     private final Duration mTime;
     private final Map<String, Reservation> mByModel = new LinkedHashMap<>();
 
@@ -16,7 +18,7 @@
     }
 
     void put(String model, String endpoint, Instant now) {
-        mByModel.put(model, new Reservation(endpoint, now.plus(mTime)));
+        mByModel.put(model, new Reservation(endpoint, now.plus(TIME_TO_START), now.plus(mTime)));
     }
 
     void remove(String model) {
@@ -33,5 +35,12 @@
         return Map.copyOf(mByModel);
     }
 
-    record Reservation(String endpoint, Instant until) {}
+    /**
+     * Room on an endpoint.
+     *
+     * @param endpoint name of the endpoint
+     * @param startBy time by which an unload must have begun to clear the room
+     * @param until time by which the room must be clear
+     */
+    record Reservation(String endpoint, Instant startBy, Instant until) {}
 }
--- a/placement/src/test/java/org/foxtailridge/placement/simulation/SimulatedEngine.java
+++ b/placement/src/test/java/org/foxtailridge/placement/simulation/SimulatedEngine.java
@@ -92,6 +92,24 @@
         return mHoldings.values().stream().mapToLong(Holding::bytes).sum();
     }
 
+    int modelLoadsNow() {
+        return (int)
+                mHoldings.entrySet().stream()
+                        .filter(entry -> entry.getKey().isModel())
+                        .filter(entry -> entry.getValue().state() == ResidentState.LOADING)
+                        .count();
+    }
+
+    /** Returns whether it serves a model, not counting one artifact. */
+    boolean servesBeside(String model, Artifact leaving) {
+        return mAlive
+                && mHoldings.entrySet().stream()
+                        .filter(entry -> !entry.getKey().equals(leaving))
+                        .filter(entry -> entry.getKey().isModel())
+                        .filter(entry -> entry.getKey().name().equals(model))
+                        .anyMatch(entry -> entry.getValue().state() == ResidentState.RESIDENT);
+    }
+
     boolean serves(String model) {
         return mAlive
                 && mHoldings.entrySet().stream()
