--- a/cli/src/main/java/org/foxtailridge/cli/Foxtailridge.java
+++ b/cli/src/main/java/org/foxtailridge/cli/Foxtailridge.java
@@ -17,6 +17,7 @@
 import org.foxtailridge.cli.key.ListCommand;
 import org.foxtailridge.cli.key.WithdrawCommand;
 import org.foxtailridge.cli.load.LoadCommand;
+import org.foxtailridge.cli.node.ReportCommand;
 import org.foxtailridge.cli.node.StatusCommand;
 import org.foxtailridge.cli.platform.OptionException;
 import org.foxtailridge.cli.quickstart.QuickstartCommand;
@@ -41,7 +42,12 @@
 @Cli(
         name = "foxtailridge",
         description = "Operates a foxtailridge system",
-        commands = {QuickstartCommand.class, StatusCommand.class, LoadCommand.class},
+        commands = {
+            QuickstartCommand.class,
+            StatusCommand.class,
+            ReportCommand.class,
+            LoadCommand.class
+        },
         groups = {
             @Group(
                     name = "configuration",
--- /dev/null
+++ b/objectives/src/main/java/org/foxtailridge/objectives/handover/package-info.java
@@ -0,0 +1,2 @@
+/** Handing counts to another node at a planned stop. */
+package org.foxtailridge.objectives.handover;
