--- a/standins/src/main/java/org/foxtailridge/standins/engine/EngineRoutes.java
+++ b/standins/src/main/java/org/foxtailridge/standins/engine/EngineRoutes.java
@@ -269,12 +269,7 @@
     void applyFaults(EngineFaults faults) {
         mLastFaults = faults;
         mFaults.set(faults);
-        if (faults.holdMs() > 0) {
-            mServer.holdFor(Duration.ofMillis(faults.holdMs()));
-        }
-        if (faults.refuseMs() > 0) {
-            mServer.refuseFor(Duration.ofMillis(faults.refuseMs()));
-        }
+        mServer.disturb(faults.refuseMs(), faults.holdMs());
     }
 
     private EngineCore newCore(long incarnation) {
--- a/standins/src/main/java/org/foxtailridge/standins/log/LogStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/log/LogStandin.java
@@ -198,12 +198,7 @@
             mWaiters.forEach(waiter -> answerOutage(waiter.exchange()));
             mWaiters.clear();
         }
-        if (faults.holdMs() > 0) {
-            mServer.holdFor(Duration.ofMillis(faults.holdMs()));
-        }
-        if (faults.refuseMs() > 0) {
-            mServer.refuseFor(Duration.ofMillis(faults.refuseMs()));
-        }
+        mServer.disturb(faults.refuseMs(), faults.holdMs());
     }
 
     private record Waiter(Exchange exchange, String stream, long from, int limit) {}
--- a/standins/src/main/java/org/foxtailridge/standins/server/StandinServer.java
+++ b/standins/src/main/java/org/foxtailridge/standins/server/StandinServer.java
@@ -88,10 +88,25 @@
     }
 
     /** Leaves every request but those to set fault switches without an answer for a time. */
-    public void holdFor(Duration duration) {
+    private void holdFor(Duration duration) {
         mHeldUntil = mLoop.clock().instant().plus(duration);
     }
 
+    /**
+     * Refuses or holds what comes, as fault switches say.
+     *
+     * @param refuseMilliseconds time for which connections are refused; 0 for none
+     * @param holdMilliseconds time for which requests get no answer; 0 for none
+     */
+    public void disturb(long refuseMilliseconds, long holdMilliseconds) {
+        if (holdMilliseconds > 0) {
+            holdFor(Duration.ofMillis(holdMilliseconds));
+        }
+        if (refuseMilliseconds > 0) {
+            refuseFor(Duration.ofMillis(refuseMilliseconds));
+        }
+    }
+
     @Override
     public synchronized void close() {
         mClosed = true;
--- a/standins/src/main/java/org/foxtailridge/standins/service/ServiceStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/service/ServiceStandin.java
@@ -175,12 +175,7 @@
     private void applyFaults(ServiceFaults faults) {
         mFaults = faults;
         mRemaining = new CallFaults(faults);
-        if (faults.holdMs() > 0) {
-            mServer.holdFor(Duration.ofMillis(faults.holdMs()));
-        }
-        if (faults.refuseMs() > 0) {
-            mServer.refuseFor(Duration.ofMillis(faults.refuseMs()));
-        }
+        mServer.disturb(faults.refuseMs(), faults.holdMs());
     }
 
     private record Executions(List<ServiceExecution> executions) {}
--- a/standins/src/main/java/org/foxtailridge/standins/vms/VmListStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/vms/VmListStandin.java
@@ -143,12 +143,7 @@
         if (faults.lagMs() != null) {
             mLag = Duration.ofMillis(faults.lagMs());
         }
-        if (faults.holdMs() > 0) {
-            mServer.holdFor(Duration.ofMillis(faults.holdMs()));
-        }
-        if (faults.refuseMs() > 0) {
-            mServer.refuseFor(Duration.ofMillis(faults.refuseMs()));
-        }
+        mServer.disturb(faults.refuseMs(), faults.holdMs());
     }
 
     private record Version(Instant since, SortedMap<String, VmEntry> vms) {}
--- a/standins/src/main/java/org/foxtailridge/standins/weights/WeightStoreStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/weights/WeightStoreStandin.java
@@ -143,12 +143,7 @@
     private void applyFaults(WeightStoreFaults faults) {
         mFaults = Objects.requireNonNull(faults, "faults");
         mAnswersToLose = faults.loseAnswers();
-        if (faults.holdMs() > 0) {
-            mServer.holdFor(Duration.ofMillis(faults.holdMs()));
-        }
-        if (faults.refuseMs() > 0) {
-            mServer.refuseFor(Duration.ofMillis(faults.refuseMs()));
-        }
+        mServer.disturb(faults.refuseMs(), faults.holdMs());
     }
 
     private record Loaded(boolean complete) {}
