Hold requests in the node's queue when first tokens would come late

Cause: endpoints had room by count while the prompts ahead already made first tokens late, so that the queue with its fair shares was used too late. Change: an endpoint is taken only while the expected time to the first token stays below a setting, or none of this node's work runs there; long prompts and batch work are allowed more. Two tests of limits failed at first, as their prompts were never computed; they now note first tokens and expect the same counts, and a new test holds the wait itself. verify of routing and bench tests pass.

--- a/routing/src/main/java/org/foxtailridge/routing/RoutingSettings.java
+++ b/routing/src/main/java/org/foxtailridge/routing/RoutingSettings.java
@@ -51,6 +51,11 @@
         return mValues.mBetweenTokensMilliseconds;
     }
 
+    /** Returns the expected time to the first token above which requests wait, in milliseconds. */
+    public double firstTokenMilliseconds() {
+        return mValues.mFirstTokenMilliseconds;
+    }
+
     /** Returns the endpoints drawn at random for each decision. */
     public int randomCandidates() {
         return mValues.mRandomCandidates;
@@ -134,6 +139,7 @@
         private double mMillisecondsPerRunningRequest = 1;
         private double mAdapterFetchMilliseconds = 10;
         private double mBetweenTokensMilliseconds = 45;
+        private double mFirstTokenMilliseconds = 400;
         private int mRandomCandidates = 5;
         private int mPreferredCandidates = 4;
         private double mInteractiveReserve = 0.2;
@@ -161,6 +167,7 @@
             mMillisecondsPerRunningRequest = other.mMillisecondsPerRunningRequest;
             mAdapterFetchMilliseconds = other.mAdapterFetchMilliseconds;
             mBetweenTokensMilliseconds = other.mBetweenTokensMilliseconds;
+            mFirstTokenMilliseconds = other.mFirstTokenMilliseconds;
             mRandomCandidates = other.mRandomCandidates;
             mPreferredCandidates = other.mPreferredCandidates;
             mInteractiveReserve = other.mInteractiveReserve;
@@ -211,6 +218,12 @@
             return this;
         }
 
+        /** Sets the expected time to the first token above which requests wait, in milliseconds. */
+        public Builder firstTokenMilliseconds(double milliseconds) {
+            mFirstTokenMilliseconds = requireAtLeast(1, milliseconds, "firstTokenMilliseconds");
+            return this;
+        }
+
         /** Sets the endpoints drawn at random for each decision; at least 1. */
         public Builder randomCandidates(int count) {
             mRandomCandidates = (int) requireAtLeast(1, count, "randomCandidates");
--- a/routing/src/main/java/org/foxtailridge/routing/internal/ExpectedTimeChoice.java
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/ExpectedTimeChoice.java
@@ -13,6 +13,7 @@
 public final class ExpectedTimeChoice {
     private static final int ADAPTER_DRAWS = 2;
     private static final int FALLBACK_ENDPOINTS = 64;
+    private static final double LONG_PROMPT_FACTOR = 1.25;
     private static final double TIE_SHARE = 0.05;
 
     private final RoutingSettings mSettings;
@@ -55,7 +56,7 @@
             EndpointEntry entry = mSample.get(index);
             if (isOpen(entry, request, now) && !mEjection.isOut(entry, now)) {
                 double score = score(entry, request, match, now);
-                if (score < least) {
+                if (score < least && isSoonEnough(entry, request, score)) {
                     least = score;
                     best = entry;
                 }
@@ -109,6 +110,20 @@
                 && hasRoom(entry, request, now);
     }
 
+    /**
+     * Returns whether work in flight leaves the first token in time, or none is in flight. Long
+     * prompts and batch work are allowed more.
+     */
+    private boolean isSoonEnough(EndpointEntry entry, RouteRequest request, double expected) {
+        double alone = request.promptTokens() * mSettings.millisecondsPerPromptToken();
+        double target = mSettings.firstTokenMilliseconds();
+        double allowed =
+                request.workClass() == WorkClass.INTERACTIVE
+                        ? Math.max(target, alone * LONG_PROMPT_FACTOR)
+                        : target + alone;
+        return expected <= allowed || entry.inFlight() == 0;
+    }
+
     private boolean hasRoom(EndpointEntry entry, RouteRequest request, long now) {
         double ramp = entry.health().ramp(now, mSettings.rampMilliseconds(), mSettings.rampFloor());
         double limit = room(entry.limit().value() * ramp, request);
@@ -135,7 +150,8 @@
             EndpointEntry entry = candidates.get((start + look) % count);
             boolean out = mEjection.isOut(entry, now);
             allOut &= out || request.excluded().contains(entry.name());
-            if (isOpen(entry, request, now)) {
+            if (isOpen(entry, request, now)
+                    && isSoonEnough(entry, request, expected(entry, request, now))) {
                 if (!out) {
                     return entry;
                 }
--- a/routing/src/test/java/org/foxtailridge/routing/ExpectedTimeRouterTest.java
+++ b/routing/src/test/java/org/foxtailridge/routing/ExpectedTimeRouterTest.java
@@ -128,6 +128,24 @@
         assertThat(router.choose(prompt())).isInstanceOf(RoutingDecision.Dispatch.class);
     }
 
+    @Test
+    void should_wait_while_the_prompts_ahead_take_too_long() {
+        // GIVEN
+        Router router = fleet(1, 1);
+        // WHEN
+        int started = 0;
+        while (router.choose(prompt()) instanceof RoutingDecision.Dispatch dispatch) {
+            router.attemptStarted(new Attempt("attempt-" + started, dispatch.endpoint(), prompt()));
+            started++;
+        }
+        // THEN
+        assertThat(started).isEqualTo(3);
+        // WHEN
+        router.firstTokenArrived("attempt-0");
+        // THEN
+        assertThat(router.choose(prompt())).isInstanceOf(RoutingDecision.Dispatch.class);
+    }
+
     @Test
     void should_learn_the_limit_of_an_endpoint_that_queues() {
         // GIVEN
@@ -202,6 +220,7 @@
         int started = 0;
         while (router.choose(prompt()) instanceof RoutingDecision.Dispatch dispatch) {
             router.attemptStarted(new Attempt("attempt-" + started, dispatch.endpoint(), prompt()));
+            router.firstTokenArrived("attempt-" + started);
             started++;
         }
         return started;
