Place models on engines: follow orders, plan and give orders by lease, load adapters on demand

Cause: models had to be preloaded by hand, and an adapter that no engine held was refused. Change: the placement duty folds the stream "orders", gives orders of the endpoints whose lease this node holds, plans while it holds that duty, forwards steps and wanted adapters to the holder, and counts demand; a request whose adapter is missing has it loaded and asks again. The completion run is split: usage, adapter wait and calls have classes of their own. Conclusion: proofs of placement against real processes come next.

--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -17,6 +17,7 @@
 import org.foxtailridge.node.duty.LimitsDuty;
 import org.foxtailridge.node.duty.MembershipDuty;
 import org.foxtailridge.node.duty.NodeState;
+import org.foxtailridge.node.duty.PlacementDuty;
 import org.foxtailridge.node.duty.QuarantineDuty;
 import org.foxtailridge.node.duty.ReportsDuty;
 import org.foxtailridge.node.duty.RoutingDuty;
@@ -47,6 +48,7 @@
     private final MembershipDuty mMembership;
     private final RoutingDuty mRouting;
     private final ClaimsDuty mClaims;
+    private final PlacementDuty mPlacement;
     private final RunningRequests mRunning;
     private final NodeState mState;
     private final StatusReport mStatus;
@@ -66,6 +68,7 @@
             ReportsDuty reports,
             QuarantineDuty quarantine,
             ClaimsDuty claims,
+            PlacementDuty placement,
             MembershipDuty membership,
             LeasesDuty leases,
             RunningRequests running,
@@ -83,6 +86,7 @@
         mMembership = membership;
         mRouting = routing;
         mClaims = claims;
+        mPlacement = placement;
         mRunning = running;
         mState = state;
         mStatus = status;
@@ -151,6 +155,7 @@
 
     private void listen() {
         mClaims.start();
+        mPlacement.start();
         mOperators.start();
         mCallers.start();
         LOGGER.info(
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionCalls.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionCalls.java
@@ -5,8 +5,10 @@
 import org.foxtailridge.platform.engine.ChatMessage;
 import org.foxtailridge.platform.engine.CompletionCall;
 import org.foxtailridge.routing.EnginePriority;
+import org.foxtailridge.routing.RouteRequest;
+import org.foxtailridge.routing.RouteTarget;
 
-/** Makes the calls of engines that a completion leads to. */
+/** Makes what a completion asks of routing and of engines. */
 final class CompletionCalls {
     private final CompletionRequest mRequest;
     private final ModelChoice mChoice;
@@ -44,4 +46,26 @@
         messages.add(new ChatMessage("assistant", textSoFar));
         return messages;
     }
+
+    /**
+     * Returns the request as routing sees it.
+     *
+     * @param runId identifier that is unique on this node
+     * @param clientAccount name of the client account
+     * @param tokensSoFar tokens of the answer that the caller has already
+     */
+    RouteRequest routeRequest(String runId, String clientAccount, int tokensSoFar) {
+        RouteTarget target =
+                new RouteTarget.ModelTarget(
+                        mChoice.model().name(), mChoice.model().version(), mChoice.adapterName());
+        RouteRequest.Builder builder =
+                RouteRequest.builder(runId, target)
+                        .clientAccount(clientAccount)
+                        .workClass(mRequest.workClass())
+                        .prefixes(PromptPrefixes.of(mRequest, mChoice))
+                        .promptTokens(mRequest.promptTokens() + tokensSoFar)
+                        .maximumTokens(Math.max(1, mRequest.maximumTokens() - tokensSoFar));
+        mRequest.due().ifPresent(builder::deadline);
+        return builder.build();
+    }
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionRequest.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionRequest.java
@@ -48,4 +48,17 @@
     int promptTokens() {
         return text().length() / CHARACTERS_FOR_EACH_TOKEN + 1;
     }
+
+    /** Returns the most tokens that the request may take, prompt included. */
+    long totalTokens() {
+        return (long) promptTokens() + maximumTokens;
+    }
+
+    /**
+     * Returns whether the rest of a broken answer may come from another engine: work that no caller
+     * waits for, and answers of which the caller has seen nothing.
+     */
+    boolean mayRepeatElsewhere() {
+        return workClass != WorkClass.INTERACTIVE || !stream;
+    }
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
@@ -2,13 +2,13 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.foxtailridge.configuration.model.Endpoint;
-import org.foxtailridge.configuration.model.WorkClass;
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.name.ClientAccountName;
@@ -24,11 +24,9 @@
 import org.foxtailridge.node.duty.DispatchListener;
 import org.foxtailridge.platform.engine.AttemptIdentity;
 import org.foxtailridge.platform.engine.CompletionToken;
-import org.foxtailridge.platform.engine.Usage;
 import org.foxtailridge.routing.Attempt;
 import org.foxtailridge.routing.AttemptEnd;
 import org.foxtailridge.routing.RouteRequest;
-import org.foxtailridge.routing.RouteTarget;
 import org.foxtailridge.routing.RoutingDecision;
 
 /**
@@ -50,6 +48,8 @@
     private final ModelChoice mChoice;
     private final AnswerSink mSink;
     private final CompletionCalls mCalls;
+    private final AnswerUsage mUsage;
+    private final AdapterWait mAdapterWait;
     private final AnswerTimes mTimes;
     private final AnswerStream mStream;
     private final Fingerprint mFingerprint;
@@ -62,13 +62,13 @@
     private Endpoint mEndpoint;
     private EngineConnection mConnection;
     private FoxtailridgeException mLastFailure;
+    private String mVersion = "";
     private String mTextSoFar = "";
     private int mTokensSoFar;
     private int mAttemptTokens;
     private int mTries;
     private boolean mMayHaveBegun;
     private boolean mEnded;
-    private Usage mUsage;
 
     CompletionRun(
             CompletionServices services,
@@ -87,10 +87,12 @@
         mFingerprint = fingerprint;
         mRunId = services.identifiers().next();
         mCalls = new CompletionCalls(request, choice);
+        mUsage = new AnswerUsage(request.promptTokens());
+        mAdapterWait = new AdapterWait(services.placement(), choice);
         mTimes = services.newTimes(choice.model().name());
         mStream =
                 AnswerStream.builder(exchange.requestId())
-                        .mayRepeatElsewhere(mayRepeatElsewhere(request))
+                        .mayRepeatElsewhere(request.mayRepeatElsewhere())
                         .maximumResumes(MAXIMUM_RESUMES)
                         .maximumKeptCharacters(MAXIMUM_KEPT_CHARACTERS)
                         .build();
@@ -99,9 +101,10 @@
     /** Starts the run; it ends by itself. */
     void start() {
         mServices.running().add(this);
+        mServices.demand().requested(mChoice.model().name(), mRequest.totalTokens());
         mServices
                 .limits()
-                .reserve(ClientAccountName.of(mCaller.clientAccount()), reservedTokens())
+                .reserve(ClientAccountName.of(mCaller.clientAccount()), mRequest.totalTokens())
                 .whenComplete((granted, failure) -> run(() -> onReserved(granted, failure)));
     }
 
@@ -150,7 +153,7 @@
                         token.attemptId(),
                         token.index(),
                         token.text(),
-                        java.util.Optional.ofNullable(token.finishReason()));
+                        Optional.ofNullable(token.finishReason()));
         StreamStep step = mStream.tokenArrived(event);
         if (step instanceof StreamStep.Deliver deliver) {
             deliver(connection, deliver, token);
@@ -167,12 +170,14 @@
         }
     }
 
-    void onRefused(EngineConnection connection, boolean notStarted) {
+    void onRefused(EngineConnection connection, String reason, boolean notStarted) {
         if (isStale(connection)) {
             return;
         }
         if (connection.failedToResume()) {
             onAttemptLost();
+        } else if (notStarted && mAdapterWait.mayHelp(reason)) {
+            awaitAdapter();
         } else if (notStarted) {
             attemptFailed(AttemptEnd.NOT_STARTED, AttemptProgress.NOT_BEGUN);
         } else {
@@ -194,12 +199,17 @@
         }
     }
 
-    private static boolean mayRepeatElsewhere(CompletionRequest request) {
-        return request.workClass() != WorkClass.INTERACTIVE || !request.stream();
+    /** Has the adapter loaded on the chosen endpoint and asks it again shortly after. */
+    private void awaitAdapter() {
+        EngineConnection refused = mConnection;
+        mAdapterWait.begin(mEndpoint.name());
+        mServices.timer().after(AdapterWait.INTERVAL, () -> run(() -> askAgain(refused)));
     }
 
-    private long reservedTokens() {
-        return (long) mRequest.promptTokens() + mRequest.maximumTokens();
+    private void askAgain(EngineConnection refused) {
+        if (!isStale(refused)) {
+            open(mAttempt.attemptId());
+        }
     }
 
     private boolean isStale(EngineConnection connection) {
@@ -241,25 +251,13 @@
             onRefused(FoxtailridgeException.from(failure));
             return;
         }
-        mServices.routing().submit(routeRequest(isolated), this);
-    }
-
-    private RouteRequest routeRequest(boolean isolated) {
-        RouteTarget target =
-                new RouteTarget.ModelTarget(
-                        mChoice.model().name(), mChoice.model().version(), mChoice.adapterName());
-        RouteRequest.Builder builder =
-                RouteRequest.builder(mRunId, target)
-                        .clientAccount(mCaller.clientAccount())
-                        .workClass(mRequest.workClass())
-                        .prefixes(PromptPrefixes.of(mRequest, mChoice))
-                        .promptTokens(mRequest.promptTokens() + mTokensSoFar)
-                        .maximumTokens(Math.max(1, mRequest.maximumTokens() - mTokensSoFar))
+        RouteRequest request =
+                mCalls.routeRequest(mRunId, mCaller.clientAccount(), mTokensSoFar).toBuilder()
                         .excluded(mExcluded)
                         .isolated(isolated)
-                        .begun(mMayHaveBegun);
-        mRequest.due().ifPresent(builder::deadline);
-        return builder.build();
+                        .begun(mMayHaveBegun)
+                        .build();
+        mServices.routing().submit(request, this);
     }
 
     private void connect(Attempt attempt, RoutingDecision.Dispatch decision) {
@@ -287,6 +285,11 @@
         mServices.quarantine().began(mPermission, mServices.reports().startOf(attempt.endpoint()));
         mStream.attemptBegan(attempt.attemptId());
         mMayHaveBegun = true;
+        mVersion = decision.version();
+        open(attempt.attemptId());
+    }
+
+    private void open(String attemptId) {
         EngineConnection connection = new EngineConnection(this, false);
         mConnection = connection;
         connection.opened(
@@ -294,8 +297,8 @@
                         .engines()
                         .complete(
                                 mEndpoint.address(),
-                                identity(attempt.attemptId()),
-                                mCalls.call(decision.version(), mTextSoFar, mTokensSoFar),
+                                identity(attemptId),
+                                mCalls.call(mVersion, mTextSoFar, mTokensSoFar),
                                 connection));
     }
 
@@ -310,9 +313,7 @@
         }
         mAttemptTokens++;
         mTimes.token();
-        if (token.isLast()) {
-            mUsage = new Usage(promptTokensOf(token), mStream.delivered());
-        }
+        mUsage.delivered(token, mStream.delivered());
         CompletionToken numbered =
                 new CompletionToken(
                         token.requestId(),
@@ -320,18 +321,11 @@
                         deliver.index(),
                         deliver.text(),
                         token.finishReason(),
-                        token.isLast() ? mUsage : null);
+                        token.isLast() ? mUsage.whole() : null);
         mSink.token(
                 numbered, Callback.from(connection::demand, gone -> run(() -> onCallerGone(gone))));
     }
 
-    private int promptTokensOf(CompletionToken last) {
-        if (last.usage() == null || mTokensSoFar > 0) {
-            return mRequest.promptTokens();
-        }
-        return last.usage().promptTokens();
-    }
-
     private void follow(StreamStep step) {
         if (step instanceof StreamStep.ResumeSameEngine resume) {
             resume(resume);
@@ -430,7 +424,7 @@
     private void finish() {
         endAttempt(AttemptEnd.FINISHED);
         close();
-        mSink.finish(mUsage);
+        mSink.finish(mUsage.whole());
     }
 
     private void end(FoxtailridgeException failure) {
@@ -450,20 +444,12 @@
         mServices.routing().forget(mRunId);
         mServices.running().remove(this);
         if (mReservation != null) {
-            long used = usedTokens();
+            long used = mUsage.chargedTokens();
             mServices.limits().settle(mReservation, used);
             mServices.metrics().tokensCharged(mCaller.clientAccount(), used);
         }
     }
 
-    private long usedTokens() {
-        if (mUsage != null) {
-            return (long) mUsage.promptTokens() + mUsage.completionTokens();
-        }
-        int delivered = mStream.delivered();
-        return delivered == 0 ? 0 : (long) mRequest.promptTokens() + delivered;
-    }
-
     private void cancelAttempt() {
         if (mAttempt == null) {
             return;
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionServices.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionServices.java
@@ -4,8 +4,10 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.foxtailridge.node.duty.ConfigurationView;
+import org.foxtailridge.node.duty.DemandCounter;
 import org.foxtailridge.node.duty.DutyTimer;
 import org.foxtailridge.node.duty.LimitsDuty;
+import org.foxtailridge.node.duty.PlacementDuty;
 import org.foxtailridge.node.duty.QuarantineDuty;
 import org.foxtailridge.node.duty.ReportsDuty;
 import org.foxtailridge.node.duty.RoutingDuty;
@@ -20,6 +22,8 @@
     private final RoutingDuty mRouting;
     private final QuarantineDuty mQuarantine;
     private final ReportsDuty mReports;
+    private final DemandCounter mDemand;
+    private final PlacementDuty mPlacement;
     private final EngineClient mEngines;
     private final RunningRequests mRunning;
     private final AttemptIdentifiers mIdentifiers;
@@ -34,6 +38,8 @@
             RoutingDuty routing,
             QuarantineDuty quarantine,
             ReportsDuty reports,
+            DemandCounter demand,
+            PlacementDuty placement,
             EngineClient engines,
             RunningRequests running,
             AttemptIdentifiers identifiers,
@@ -45,6 +51,8 @@
         mRouting = routing;
         mQuarantine = quarantine;
         mReports = reports;
+        mDemand = demand;
+        mPlacement = placement;
         mEngines = engines;
         mRunning = running;
         mIdentifiers = identifiers;
@@ -69,6 +77,14 @@
         return mQuarantine;
     }
 
+    PlacementDuty placement() {
+        return mPlacement;
+    }
+
+    DemandCounter demand() {
+        return mDemand;
+    }
+
     ReportsDuty reports() {
         return mReports;
     }
--- a/node/src/main/java/org/foxtailridge/node/caller/EngineConnection.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/EngineConnection.java
@@ -74,7 +74,7 @@
 
     @Override
     public void onRefused(int status, String reason, boolean notStarted) {
-        mRun.run(() -> mRun.onRefused(this, notStarted));
+        mRun.run(() -> mRun.onRefused(this, reason, notStarted));
     }
 
     @Override
--- a/node/src/main/java/org/foxtailridge/node/duty/ReportsDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ReportsDuty.java
@@ -2,9 +2,9 @@
 
 import com.google.common.base.Throwables;
 import java.net.ConnectException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -31,7 +31,7 @@
     private final ConfigurationView mConfiguration;
     private final RoutingDuty mRouting;
     private final QuarantineDuty mQuarantine;
-    private final List<BiConsumer<EndpointName, LoadReport>> mListeners =
+    private final List<BiConsumer<EndpointName, Optional<LoadReport>>> mListeners =
             new CopyOnWriteArrayList<>();
     private final Map<EndpointName, EndpointStart> mStarts = new ConcurrentHashMap<>();
     private final Set<String> mAsked = ConcurrentHashMap.newKeySet();
@@ -58,8 +58,10 @@
         return mStarts.getOrDefault(endpoint, new EndpointStart(endpoint.value(), 0));
     }
 
-    /** Adds a listener of all reports; it is called on this duty's thread. */
-    public void listen(BiConsumer<EndpointName, LoadReport> listener) {
+    /**
+     * Adds a listener of all reports, empty when an engine doesn't answer; called on this thread.
+     */
+    public void listen(BiConsumer<EndpointName, Optional<LoadReport>> listener) {
         mListeners.add(listener);
     }
 
@@ -98,7 +100,7 @@
         boolean leaving = endpoint.leaving() || report.leaving();
         mRouting.endpointChanged(name, leaving ? EndpointState.LEAVING : EndpointState.UP);
         mRouting.loadReported(name, RoutingReports.from(report));
-        new ArrayList<>(mListeners).forEach(listener -> listener.accept(name, report));
+        tell(name, Optional.of(report));
     }
 
     /** Tells the quarantine when the process that answered last has ended. */
@@ -112,6 +114,7 @@
 
     private void onNoAnswer(EndpointName name, Throwable failure) {
         mRouting.endpointChanged(name, EndpointState.DOWN);
+        tell(name, Optional.empty());
         EndpointStart start = mStarts.get(name);
         if (start != null && isRefusal(failure)) {
             mStarts.remove(name, start);
@@ -119,6 +122,10 @@
         }
     }
 
+    private void tell(EndpointName name, Optional<LoadReport> report) {
+        mListeners.forEach(listener -> listener.accept(name, report));
+    }
+
     /** A refused connection shows that the machine runs and the process doesn't. */
     private static boolean isRefusal(Throwable failure) {
         return Throwables.getCausalChain(failure).stream()
