Give unused tokens of a full bucket back once their spending was reported

GrantLimiterTest, new, found that a request of 900 tokens from a full bucket of 1,000 which used 100 got nothing back: spent tokens counted as outstanding until reported, so the bucket counted as full all the while.

Unused tokens that the home node has not heard of go back as unspent; those reported go back as far as the bucket could hold them since that report. A home node with no other holder no longer answers as if a recall could help.

should_make_unused_tokens_available_again failed before and passes now; LimitWindowTest, 10,000 fleets: 0 over.

--- a/limits/src/main/java/org/foxtailridge/limits/bucket/TokenBucket.java
+++ b/limits/src/main/java/org/foxtailridge/limits/bucket/TokenBucket.java
@@ -105,6 +105,13 @@
         return mStamp;
     }
 
+    /** Returns a new stamp; tokens given back under it are bounded by what follows only. */
+    public long mark() {
+        mStamp++;
+        note();
+        return mStamp;
+    }
+
     /** Returns the whole tokens inside. */
     public long level() {
         return mLevelMicroTokens / MICRO;
--- a/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
@@ -36,6 +36,7 @@
     private final Floor mFloor;
     private final HomeLink mLink;
     private final UnusedBatch mUnused = new UnusedBatch();
+    private final UnreportedSpending mUnreported;
     private final DemandMeter mDemand;
     private final Deque<WaitingReservation> mWaiting = new ArrayDeque<>();
     private LimitParts mParts;
@@ -59,6 +60,7 @@
         mParts = parts;
         mOutbox = outbox;
         mReservations = reservations;
+        mUnreported = new UnreportedSpending(reservations);
         mPool = new TokenPool(rules);
         mFloor = new Floor(parts, floorFromMilliseconds, nowMilliseconds);
         mLink = new HomeLink(settings, account);
@@ -102,16 +104,26 @@
 
     void settle(
             Reservation reservation,
-            TokenPool.Origin origin,
+            OpenReservations.Spent spent,
             long usedTokens,
             long nowMilliseconds) {
         advance(nowMilliseconds);
         long unused = reservation.tokens() - usedTokens;
         if (unused < 0) {
             charge(-unused);
-        } else if (unused > 0 && origin.fencing() == TokenPool.Origin.FLOOR) {
+        } else if (unused > 0) {
+            giveBack(spent, unused);
+        }
+    }
+
+    private void giveBack(OpenReservations.Spent spent, long unused) {
+        TokenPool.Origin origin = spent.origin();
+        boolean unreported = spent.number() == mLink.number() && !mUnused.isUnderWay();
+        if (origin.fencing() == TokenPool.Origin.FLOOR) {
             mFloor.giveBack(origin.stamp(), unused);
-        } else if (unused > 0 && origin.fencing() == mLink.fencing()) {
+        } else if (origin.fencing() == mLink.fencing() && unreported) {
+            mUnused.collectReturned(unused);
+        } else if (origin.fencing() == mLink.fencing()) {
             mUnused.collect(origin.stamp(), unused);
         }
     }
@@ -119,6 +131,7 @@
     void homeIs(NodeName home, long fencing, long nowMilliseconds) {
         if (mLink.homeIs(home, fencing)) {
             mUnused.forget(mFloor, nowMilliseconds);
+            mUnreported.forget();
             askForWaiting(nowMilliseconds);
         }
     }
@@ -128,6 +141,7 @@
         if (!mLink.accept(sender, answer)) {
             return;
         }
+        mUnreported.answered(answer.getNumber(), answer.getReportStamp());
         mUnused.taken(answer.getTakenBatch(), mFloor, nowMilliseconds, answer.getLendAfterMs());
         if (answer.getGrantedTokens() > 0) {
             mPauseMilliseconds = LEAST_PAUSE_MILLISECONDS;
@@ -186,7 +200,10 @@
     }
 
     private void grant(long tokens, TokenPool.Origin origin, Consumer<Admission> decision) {
-        Reservation reservation = mReservations.open(mAccount, tokens, origin);
+        Reservation reservation = mReservations.open(mAccount, tokens, origin, mLink.number());
+        if (origin.fencing() == mLink.fencing()) {
+            mUnreported.add(reservation.id(), mLink.number());
+        }
         decision.accept(new Admission.Granted(reservation));
     }
 
--- a/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
@@ -88,8 +88,8 @@
         AccountLimiter limiter = mAccounts.get(reservation.account());
         mReservations
                 .close(reservation)
-                .filter(origin -> limiter != null)
-                .ifPresent(origin -> limiter.settle(reservation, origin, usedTokens, now()));
+                .filter(spent -> limiter != null)
+                .ifPresent(spent -> limiter.settle(reservation, spent, usedTokens, now()));
     }
 
     @Override
--- a/limits/src/main/java/org/foxtailridge/limits/grant/HolderSession.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HolderSession.java
@@ -42,6 +42,11 @@
         return freed;
     }
 
+    /** Returns whether the tokens held before a report were still counted at this instant. */
+    boolean isCounted(long nowMilliseconds) {
+        return nowMilliseconds < mHeldUntilMilliseconds;
+    }
+
     void grant(long tokens, long untilMilliseconds) {
         mHeldTokens += tokens;
         mHeldUntilMilliseconds = untilMilliseconds;
--- a/limits/src/main/java/org/foxtailridge/limits/grant/HomeBucket.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HomeBucket.java
@@ -101,6 +101,7 @@
         expire(nowMilliseconds);
         long freed = session.report(request.getHeldTokens());
         countOutstanding();
+        long reportStamp = session.isCounted(nowMilliseconds) ? mBucket.mark() : 0;
         mBucket.take(Math.min(session.payOwed(), mBucket.level()));
         boolean lendUseful = takeBatch(session, request, freed);
         long granted = grant(session, request, nowMilliseconds);
@@ -112,15 +113,20 @@
                 .setIncarnation(request.getIncarnation())
                 .setGrantedTokens(granted)
                 .setStamp(mBucket.stamp())
+                .setReportStamp(reportStamp)
                 .setTakenBatch(session.takenBatch())
                 .setRetryAfterMs(retryAfter)
                 .setLendAfterMs(lendUseful ? 0 : LEND_PAUSE_MILLISECONDS)
                 .build();
     }
 
+    private boolean mayRecall(long nowMilliseconds) {
+        return mSessions.size() > 1 && mRecall.isDue(nowMilliseconds);
+    }
+
     private long retryAfter(GrantRequest request, long nowMilliseconds) {
         long refilled = mBucket.millisecondsUntil(request.getMinimumTokens());
-        return mRecall.isDue(nowMilliseconds)
+        return mayRecall(nowMilliseconds)
                 ? Math.min(refilled, RECALL_ROUND_MILLISECONDS)
                 : refilled;
     }
@@ -131,7 +137,7 @@
      */
     Set<NodeName> recall(NodeName requester, GrantAnswer answer, long nowMilliseconds) {
         boolean wanting = answer.getGrantedTokens() == 0 && answer.getRetryAfterMs() > 0;
-        if (!wanting || !mRecall.isDue(nowMilliseconds)) {
+        if (!wanting || !mayRecall(nowMilliseconds)) {
             return Set.of();
         }
         mRecall.start(nowMilliseconds);
--- a/limits/src/main/java/org/foxtailridge/limits/grant/HomeLink.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HomeLink.java
@@ -96,6 +96,11 @@
                 .setNumber(mNumber);
     }
 
+    /** Returns the number of the last request. */
+    long number() {
+        return mNumber;
+    }
+
     /** Notes the tokens that the request under way asks for. */
     void wanted(long tokens) {
         mWantedTokens = tokens;
--- a/limits/src/main/java/org/foxtailridge/limits/grant/OpenReservations.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/OpenReservations.java
@@ -9,7 +9,7 @@
 /** Reservations that were granted and not settled, up to a bound. */
 final class OpenReservations {
     private final int mMaximum;
-    private final Map<Long, TokenPool.Origin> mOrigins = new HashMap<>();
+    private final Map<Long, Spent> mSpent = new HashMap<>();
     private long mLastId;
 
     OpenReservations(int maximum) {
@@ -17,16 +17,42 @@
     }
 
     boolean isFull() {
-        return mOrigins.size() >= mMaximum;
+        return mSpent.size() >= mMaximum;
     }
 
-    Reservation open(ClientAccountName account, long tokens, TokenPool.Origin origin) {
+    /**
+     * Opens a reservation.
+     *
+     * @param account client account
+     * @param tokens tokens reserved
+     * @param origin where the tokens came from
+     * @param number number of the last request to the home node before
+     */
+    Reservation open(ClientAccountName account, long tokens, TokenPool.Origin origin, long number) {
         mLastId++;
-        mOrigins.put(mLastId, origin);
+        mSpent.put(mLastId, new Spent(origin, number));
         return new Reservation(mLastId, account, tokens);
     }
 
-    Optional<TokenPool.Origin> close(Reservation reservation) {
-        return Optional.ofNullable(mOrigins.remove(reservation.id()));
+    /** Notes the stamp at which the home node learned that the tokens were spent. */
+    void reported(long reservation, long stamp) {
+        mSpent.computeIfPresent(
+                reservation,
+                (id, spent) ->
+                        new Spent(
+                                new TokenPool.Origin(spent.origin().fencing(), stamp),
+                                spent.number()));
     }
+
+    Optional<Spent> close(Reservation reservation) {
+        return Optional.ofNullable(mSpent.remove(reservation.id()));
+    }
+
+    /**
+     * Tokens of an open reservation.
+     *
+     * @param origin where they came from
+     * @param number number of the last request to the home node before they were spent
+     */
+    record Spent(TokenPool.Origin origin, long number) {}
 }
