--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -10,10 +10,14 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.foxtailridge.node.caller.CallerServer;
 import org.foxtailridge.node.caller.RunningRequests;
+import org.foxtailridge.node.duty.ClaimsDuty;
 import org.foxtailridge.node.duty.ConfigurationDuty;
 import org.foxtailridge.node.duty.DutyTimer;
+import org.foxtailridge.node.duty.LeasesDuty;
 import org.foxtailridge.node.duty.LimitsDuty;
+import org.foxtailridge.node.duty.MembershipDuty;
 import org.foxtailridge.node.duty.NodeState;
+import org.foxtailridge.node.duty.QuarantineDuty;
 import org.foxtailridge.node.duty.ReportsDuty;
 import org.foxtailridge.node.duty.RoutingDuty;
 import org.foxtailridge.node.operator.OperatorServer;
@@ -38,7 +42,11 @@
     private final CallerServer mCallers;
     private final OperatorServer mOperators;
     private final PeerNetwork mPeers;
-    private final ConfigurationDuty mConfiguration;
+    private final LeasesDuty mLeases;
+    private final LimitsDuty mLimits;
+    private final MembershipDuty mMembership;
+    private final RoutingDuty mRouting;
+    private final ClaimsDuty mClaims;
     private final RunningRequests mRunning;
     private final NodeState mState;
     private final StatusReport mStatus;
@@ -56,6 +64,10 @@
             LimitsDuty limits,
             RoutingDuty routing,
             ReportsDuty reports,
+            QuarantineDuty quarantine,
+            ClaimsDuty claims,
+            MembershipDuty membership,
+            LeasesDuty leases,
             RunningRequests running,
             NodeState state,
             StatusReport status,
@@ -66,12 +78,25 @@
         mCallers = callers;
         mOperators = operators;
         mPeers = peers;
-        mConfiguration = configuration;
+        mLeases = leases;
+        mLimits = limits;
+        mMembership = membership;
+        mRouting = routing;
+        mClaims = claims;
         mRunning = running;
         mState = state;
         mStatus = status;
         mTimer = timer;
-        mDuties = List.of(configuration, reports, routing, limits);
+        mDuties =
+                List.of(
+                        configuration,
+                        reports,
+                        routing,
+                        quarantine,
+                        claims,
+                        leases,
+                        membership,
+                        limits);
         mClients = List.of(controlClient, endpointClient);
     }
 
@@ -106,6 +131,10 @@
     public void stop() {
         LOGGER.info("stopping with {} requests running", mRunning.count());
         mState.beginStop();
+        mMembership.leave();
+        mLimits.releaseHomes();
+        mLeases.releaseAll().join();
+        mRouting.stopAccepting();
         try {
             mRunning.drained(mSettings.stopTimeout()).join();
         } catch (CompletionException timeout) {
@@ -121,7 +150,7 @@
     }
 
     private void listen() {
-        mConfiguration.start();
+        mClaims.start();
         mOperators.start();
         mCallers.start();
         LOGGER.info(
--- a/node/src/main/java/org/foxtailridge/node/NodeModule.java
+++ b/node/src/main/java/org/foxtailridge/node/NodeModule.java
@@ -11,8 +11,11 @@
 import javax.inject.Singleton;
 import org.eclipse.jetty.client.HttpClient;
 import org.foxtailridge.core.time.MonotonicClock;
+import org.foxtailridge.execution.retry.RetryPolicy;
+import org.foxtailridge.execution.retry.RetrySettings;
+import org.foxtailridge.limits.LimiterSettings;
 import org.foxtailridge.limits.TokenLimiter;
-import org.foxtailridge.limits.baseline.EqualSplitLimiter;
+import org.foxtailridge.limits.grant.GrantLimiter;
 import org.foxtailridge.node.duty.PeerMessages;
 import org.foxtailridge.node.peer.PeerIdentity;
 import org.foxtailridge.node.peer.PeerNetwork;
@@ -27,8 +30,10 @@
 import org.foxtailridge.platform.service.ServiceClient;
 import org.foxtailridge.platform.vm.HttpVmList;
 import org.foxtailridge.platform.vm.VmList;
-import org.foxtailridge.routing.LeastInFlightRouter;
+import org.foxtailridge.protocol.envelope.Subject;
+import org.foxtailridge.routing.ExpectedTimeRouter;
 import org.foxtailridge.routing.Router;
+import org.foxtailridge.routing.RoutingSettings;
 
 /** Provides what a node is made of. */
 @Module
@@ -38,7 +43,6 @@
     private static final int CONTROL_THREADS = 16;
     private static final int CONTROL_CONNECTIONS = 32;
     private static final int ENDPOINT_THREADS = 64;
-    private static final int MAXIMUM_NODES = 9;
     private static final int MAXIMUM_OPEN_RESERVATIONS = 100_000;
     private static final int MAXIMUM_SERVICE_ANSWER_BYTES = 4 * 1024 * 1024;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
@@ -112,14 +116,28 @@
 
     @Provides
     @Singleton
-    static TokenLimiter limiter(Clock clock) {
-        return new EqualSplitLimiter(clock, MAXIMUM_NODES, MAXIMUM_OPEN_RESERVATIONS);
+    static TokenLimiter limiter(
+            NodeSettings settings, PeerIdentity identity, Clock clock, PeerNetwork peers) {
+        LimiterSettings limits =
+                LimiterSettings.builder(identity.name(), identity.incarnation())
+                        .maximumNodes(settings.maximumNodes())
+                        .maximumOpenReservations(MAXIMUM_OPEN_RESERVATIONS)
+                        .build();
+        return GrantLimiter.create(
+                limits, clock, (node, message) -> peers.send(node, Subject.LIMITS, message));
     }
 
     @Provides
     @Singleton
-    static Router router(Clock clock) {
-        return LeastInFlightRouter.create(clock);
+    static Router router(NodeSettings settings, PeerIdentity identity, Clock clock) {
+        RoutingSettings routing = RoutingSettings.builder(settings.dataCentre().value()).build();
+        return ExpectedTimeRouter.create(clock, routing, identity.seed());
+    }
+
+    @Provides
+    @Singleton
+    static RetryPolicy retries(PeerIdentity identity, Clock clock) {
+        return RetryPolicy.create(clock, RetrySettings.builder().build(), identity.seed());
     }
 
     @Provides
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
@@ -5,24 +5,24 @@
 import javax.inject.Singleton;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.core.error.FoxtailridgeException;
+import org.foxtailridge.execution.quarantine.Fingerprint;
 
 /** Serves {@code POST /v1/completions} and {@code POST /v1/chat/completions}. */
 @Singleton
 final class CompletionHandler {
-    private static final String AUTHORIZATION = "Authorization";
-
     private final CompletionServices mServices;
+    private final Authentication mAuthentication;
     private final Clock mClock;
 
     @Inject
-    CompletionHandler(CompletionServices services, Clock clock) {
+    CompletionHandler(CompletionServices services, Authentication authentication, Clock clock) {
+        mAuthentication = authentication;
         mServices = services;
         mClock = clock;
     }
 
     void handle(CallerExchange exchange, CompletionShape shape) {
-        Configuration configuration = mServices.configuration().current();
-        Caller caller = Authentication.authenticate(configuration, exchange.header(AUTHORIZATION));
+        Caller caller = mAuthentication.authenticate(exchange);
         exchange.describe("completion", caller.clientAccount());
         exchange.body()
                 .whenComplete(
@@ -41,7 +41,7 @@
             Configuration configuration = mServices.configuration().current();
             ModelChoice choice = ModelChoice.find(configuration, caller, request.model());
             requireContext(choice, request);
-            run(exchange, caller, request, choice).start();
+            run(exchange, caller, request, choice, body).start();
         } catch (FoxtailridgeException refusal) {
             exchange.fail(refusal);
         }
@@ -58,7 +58,11 @@
     }
 
     private CompletionRun run(
-            CallerExchange exchange, Caller caller, CompletionRequest request, ModelChoice choice) {
+            CallerExchange exchange,
+            Caller caller,
+            CompletionRequest request,
+            ModelChoice choice,
+            byte[] body) {
         AnswerHead head =
                 new AnswerHead(
                         request.shape(),
@@ -69,6 +73,7 @@
                 request.stream()
                         ? new StreamedAnswerSink(exchange, head)
                         : new WholeAnswerSink(exchange, head);
-        return new CompletionRun(mServices, exchange, caller, request, choice, sink);
+        Fingerprint fingerprint = Fingerprint.of(caller.clientAccount(), request.model(), body);
+        return new CompletionRun(mServices, exchange, caller, request, choice, sink, fingerprint);
     }
 }
--- a/routing/src/main/java/org/foxtailridge/routing/RoutingSettings.java
+++ b/routing/src/main/java/org/foxtailridge/routing/RoutingSettings.java
@@ -46,6 +46,16 @@
         return mValues.mAdapterFetchMilliseconds;
     }
 
+    /** Returns the time between tokens that endpoints are kept below, in milliseconds. */
+    public double betweenTokensMilliseconds() {
+        return mValues.mBetweenTokensMilliseconds;
+    }
+
+    /** Returns the expected time to the first token above which requests wait, in milliseconds. */
+    public double firstTokenMilliseconds() {
+        return mValues.mFirstTokenMilliseconds;
+    }
+
     /** Returns the endpoints drawn at random for each decision. */
     public int randomCandidates() {
         return mValues.mRandomCandidates;
@@ -128,6 +138,8 @@
         private double mMillisecondsPerPromptToken = 0.1;
         private double mMillisecondsPerRunningRequest = 1;
         private double mAdapterFetchMilliseconds = 10;
+        private double mBetweenTokensMilliseconds = 45;
+        private double mFirstTokenMilliseconds = 400;
         private int mRandomCandidates = 5;
         private int mPreferredCandidates = 4;
         private double mInteractiveReserve = 0.2;
@@ -154,6 +166,8 @@
             mMillisecondsPerPromptToken = other.mMillisecondsPerPromptToken;
             mMillisecondsPerRunningRequest = other.mMillisecondsPerRunningRequest;
             mAdapterFetchMilliseconds = other.mAdapterFetchMilliseconds;
+            mBetweenTokensMilliseconds = other.mBetweenTokensMilliseconds;
+            mFirstTokenMilliseconds = other.mFirstTokenMilliseconds;
             mRandomCandidates = other.mRandomCandidates;
             mPreferredCandidates = other.mPreferredCandidates;
             mInteractiveReserve = other.mInteractiveReserve;
@@ -197,6 +211,19 @@
             return this;
         }
 
+        /** Sets the time between tokens that endpoints are kept below; at least 1 millisecond. */
+        public Builder betweenTokensMilliseconds(double milliseconds) {
+            mBetweenTokensMilliseconds =
+                    requireAtLeast(1, milliseconds, "betweenTokensMilliseconds");
+            return this;
+        }
+
+        /** Sets the expected time to the first token above which requests wait, in milliseconds. */
+        public Builder firstTokenMilliseconds(double milliseconds) {
+            mFirstTokenMilliseconds = requireAtLeast(1, milliseconds, "firstTokenMilliseconds");
+            return this;
+        }
+
         /** Sets the endpoints drawn at random for each decision; at least 1. */
         public Builder randomCandidates(int count) {
             mRandomCandidates = (int) requireAtLeast(1, count, "randomCandidates");
