--- a/limits/src/test/java/org/foxtailridge/limits/grant/HomeBucketTest.java
+++ b/limits/src/test/java/org/foxtailridge/limits/grant/HomeBucketTest.java
@@ -127,6 +127,40 @@
         assertThat(overAfterFullBetween(broken)).isPositive();
     }
 
+    @Test
+    void should_take_unused_tokens_of_a_full_bucket_once_it_has_heard_of_their_spending() {
+        // GIVEN 900 of 1,000 tokens that were reported as spent
+        HomeBucket home = home(new GrantRules(), OptionalLong.empty());
+        home.answer(HOLDER, request(1).setMinimumTokens(900).setWantedTokens(900).build(), 0);
+        GrantAnswer reported = home.answer(HOLDER, request(2).build(), 0);
+        UnusedTokens unused =
+                UnusedTokens.newBuilder()
+                        .setStamp(reported.getReportStamp())
+                        .setTokens(800)
+                        .build();
+        // WHEN
+        home.answer(HOLDER, request(3).setBatch(1).addUnused(unused).build(), 0);
+        GrantAnswer all =
+                home.answer(
+                        HOLDER, request(4).setMinimumTokens(900).setWantedTokens(900).build(), 0);
+        GrantAnswer more =
+                home.answer(HOLDER, request(5).setMinimumTokens(1).setWantedTokens(1).build(), 0);
+        // THEN
+        assertThat(all.getGrantedTokens()).isEqualTo(900);
+        assertThat(more.getGrantedTokens()).isZero();
+    }
+
+    @Test
+    void should_give_no_report_stamp_once_the_tokens_have_lapsed() {
+        // GIVEN
+        HomeBucket home = home(new GrantRules(), OptionalLong.empty());
+        home.answer(HOLDER, request(1).setMinimumTokens(900).setWantedTokens(900).build(), 0);
+        // WHEN
+        GrantAnswer late = home.answer(HOLDER, request(2).build(), 3_000);
+        // THEN
+        assertThat(late.getReportStamp()).isZero();
+    }
+
     @Test
     void should_drop_a_doubled_request() {
         // GIVEN
