End attempts whose ends were lost on the way to the scheduler

Cause: an end that a full ring drops would be counted for ever. Change: attempts are no longer counted after an hour, a setting. Measured: verify of routing passes with a test of it. Conclusion: a lost end costs one place for an hour at most.

--- a/routing/src/main/java/org/foxtailridge/routing/queue/QueueSettings.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/QueueSettings.java
@@ -18,6 +18,7 @@
  * @param freshMilliseconds wait after which interactive work lets that go first which can still be
  *     answered in time
  * @param preemptionWaitMilliseconds wait of interactive work after which batch work is cancelled
+ * @param attemptMilliseconds time after which an attempt whose end was never told counts no more
  * @param maximumPreemptions how often a request may be cancelled to make room
  */
 public record QueueSettings(
@@ -29,6 +30,7 @@
         long agedMilliseconds,
         long freshMilliseconds,
         long preemptionWaitMilliseconds,
+        long attemptMilliseconds,
         int maximumPreemptions) {
     /** Checks the bounds. */
     public QueueSettings {
@@ -36,6 +38,7 @@
         requirePositive(maximumTotal, "maximumTotal");
         requirePositive(interactivePatienceMilliseconds, "interactivePatienceMilliseconds");
         requirePositive(batchPatienceMilliseconds, "batchPatienceMilliseconds");
+        requirePositive(attemptMilliseconds, "attemptMilliseconds");
     }
 
     /** Returns a builder with default values. */
@@ -65,6 +68,7 @@
         private long mAgedMilliseconds = 60_000;
         private long mFreshMilliseconds = 300;
         private long mPreemptionWaitMilliseconds = 50;
+        private long mAttemptMilliseconds = 3_600_000;
         private int mMaximumPreemptions = 1;
 
         private Builder() {}
@@ -117,6 +121,12 @@
             return this;
         }
 
+        /** Sets the time after which an attempt whose end was never told counts no more. */
+        public Builder attemptMilliseconds(long milliseconds) {
+            mAttemptMilliseconds = milliseconds;
+            return this;
+        }
+
         /** Sets how often a request may be cancelled to make room. */
         public Builder maximumPreemptions(int preemptions) {
             mMaximumPreemptions = preemptions;
@@ -134,6 +144,7 @@
                     mAgedMilliseconds,
                     mFreshMilliseconds,
                     mPreemptionWaitMilliseconds,
+                    mAttemptMilliseconds,
                     mMaximumPreemptions);
         }
     }
--- a/routing/src/main/java/org/foxtailridge/routing/queue/RequestScheduler.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/RequestScheduler.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -61,7 +62,7 @@
     private final Preemption mPreemption;
     private final Map<String, FairQueue> mQueues = new HashMap<>();
     private final Map<String, QueuedRequest> mWaiting = new HashMap<>();
-    private final Map<String, RunningAttempt> mRunning = new HashMap<>();
+    private final Map<String, RunningAttempt> mRunning = new LinkedHashMap<>();
     private final Map<String, Double> mWeights = new HashMap<>();
     private long mNextAttempt;
     private boolean mStopping;
@@ -193,6 +194,7 @@
                 drop(expired, ErrorKind.DEADLINE_UNREACHABLE, 1);
             }
         }
+        forgetEndlessAttempts(now);
         drainAll();
         mQueues.values().removeIf(queue -> queue.size() == 0 && !queue.hasAccounts());
     }
@@ -247,6 +249,17 @@
         }
     }
 
+    /** Ends attempts, the oldest first, whose ends were lost on the way to this scheduler. */
+    private void forgetEndlessAttempts(long now) {
+        while (!mRunning.isEmpty()) {
+            RunningAttempt oldest = mRunning.values().iterator().next();
+            if (!oldest.hasRunFor(mSettings.attemptMilliseconds(), now)) {
+                return;
+            }
+            attemptEnded(oldest.attempt().attemptId(), AttemptEnd.CANCELLED, 0);
+        }
+    }
+
     private void drainTargetsOn(EndpointName endpoint) {
         if (mWaiting.isEmpty()) {
             return;
@@ -324,7 +337,7 @@
         long number = mNextAttempt++;
         Attempt attempt =
                 new Attempt(mAttemptPrefix + "-" + number, dispatch.endpoint(), queued.request());
-        RunningAttempt running = new RunningAttempt(number, attempt, queued);
+        RunningAttempt running = new RunningAttempt(number, attempt, queued, now);
         mRunning.put(attempt.attemptId(), running);
         mPreemption.started(running);
         mRouter.attemptStarted(attempt);
--- a/routing/src/main/java/org/foxtailridge/routing/queue/RunningAttempt.java
+++ b/routing/src/main/java/org/foxtailridge/routing/queue/RunningAttempt.java
@@ -7,10 +7,12 @@
     private final long mNumber;
     private final Attempt mAttempt;
     private final QueuedRequest mQueued;
+    private final long mStartedMilliseconds;
     private String mPreemptedFor;
     private long mFirstTokenMilliseconds = -1;
 
-    RunningAttempt(long number, Attempt attempt, QueuedRequest queued) {
+    RunningAttempt(long number, Attempt attempt, QueuedRequest queued, long startedMilliseconds) {
+        mStartedMilliseconds = startedMilliseconds;
         mNumber = number;
         mAttempt = attempt;
         mQueued = queued;
@@ -28,6 +30,10 @@
         return mQueued;
     }
 
+    boolean hasRunFor(long milliseconds, long now) {
+        return now - mStartedMilliseconds >= milliseconds;
+    }
+
     void firstToken(long now) {
         if (mFirstTokenMilliseconds < 0) {
             mFirstTokenMilliseconds = now;
--- a/routing/src/test/java/org/foxtailridge/routing/queue/RequestSchedulerTest.java
+++ b/routing/src/test/java/org/foxtailridge/routing/queue/RequestSchedulerTest.java
@@ -141,6 +141,19 @@
         assertThat(sent().subList(1, 7)).filteredOn(id -> id.startsWith("steady")).hasSize(3);
     }
 
+    @Test
+    void should_count_no_more_an_attempt_whose_end_is_never_told() {
+        // GIVEN
+        endpointOf(1);
+        submit("lost", WorkClass.INTERACTIVE, "a", 1);
+        // WHEN
+        tick(3_599_999);
+        assertThat(mScheduler.isIdle()).isFalse();
+        tick(1);
+        // THEN
+        assertThat(mScheduler.isIdle()).isTrue();
+    }
+
     private void endpointOf(int size) {
         mScheduler.configure(
                 Configuration.builder().put(Fleets.engine("engine", "pool", "lautoka-a")).build());
