--- a/node/src/main/java/org/foxtailridge/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/foxtailridge/node/settings/NodeSettings.java
@@ -124,6 +124,14 @@
                     50,
                     60_000,
                     "Time after which a call of the platform is given up.");
+    private static final Setting LOG_RETENTION =
+            Setting.number(
+                    "platform.log_retention_seconds",
+                    "seconds",
+                    604_800,
+                    60,
+                    31_536_000,
+                    "Time for which the log keeps records.");
     private static final Setting REPORT_INTERVAL =
             Setting.number(
                     "endpoints.report_interval_milliseconds",
@@ -148,6 +156,14 @@
                     1,
                     65_536,
                     "Largest number of connections to one endpoint.");
+    private static final Setting MAXIMUM_NODES =
+            Setting.number(
+                    "limits.maximum_nodes",
+                    "nodes",
+                    9,
+                    1,
+                    10_000,
+                    "Most nodes that run at once over all data centres; equal on all nodes.");
     private static final Setting RING_TASKS =
             Setting.number(
                     "duties.ring_tasks",
@@ -181,9 +197,11 @@
                     LOG_ADDRESS,
                     VM_LIST_ADDRESS,
                     PLATFORM_TIMEOUT,
+                    LOG_RETENTION,
                     REPORT_INTERVAL,
                     STREAM_IDLE,
                     ENDPOINT_CONNECTIONS,
+                    MAXIMUM_NODES,
                     RING_TASKS);
 
     private final SettingsFile mFile;
@@ -317,6 +335,11 @@
         return Duration.ofMillis(mFile.number(PLATFORM_TIMEOUT));
     }
 
+    /** Returns the time for which the log keeps records. */
+    public Duration logRetention() {
+        return Duration.ofSeconds(mFile.number(LOG_RETENTION));
+    }
+
     /** Returns the time between two reads of an engine's load report. */
     public Duration reportInterval() {
         return Duration.ofMillis(mFile.number(REPORT_INTERVAL));
@@ -336,4 +359,9 @@
     public int ringTasks() {
         return (int) mFile.number(RING_TASKS);
     }
+
+    /** Returns the most nodes that run at once over all data centres. */
+    public int maximumNodes() {
+        return (int) mFile.number(MAXIMUM_NODES);
+    }
 }
