--- /dev/null
+++ b/bench/src/main/java/org/foxtailridge/bench/objectives/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what counting and reporting of service-level burn cost. */
+package org.foxtailridge.bench.objectives;
--- a/objectives/src/main/java/org/foxtailridge/objectives/count/EventWindow.java
+++ b/objectives/src/main/java/org/foxtailridge/objectives/count/EventWindow.java
@@ -2,63 +2,81 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.NavigableMap;
-import java.util.TreeMap;
 import org.foxtailridge.protocol.objectives.BurnBucket;
 
 /**
- * Good and bad events in buckets of equal length, the newest ones only. Buckets are numbered from
- * the epoch, so that those of several nodes can be added. Used by one thread.
+ * Good and bad events in a ring of buckets of equal length, the newest ones only. Buckets are
+ * numbered from the epoch, so that those of several nodes can be added. Used by one thread.
  */
 final class EventWindow {
     private final long mBucketMilliseconds;
-    private final int mMaximumBuckets;
-    private final NavigableMap<Long, Counts> mBuckets = new TreeMap<>();
+    private final int[] mGood;
+    private final int[] mBad;
+    private long mNewest = -1;
 
-    EventWindow(long bucketMilliseconds, int maximumBuckets) {
+    EventWindow(long bucketMilliseconds, int buckets) {
         mBucketMilliseconds = bucketMilliseconds;
-        mMaximumBuckets = maximumBuckets;
+        mGood = new int[buckets];
+        mBad = new int[buckets];
     }
 
-    void add(long atMilliseconds, long good, long bad) {
-        addToBucket(atMilliseconds / mBucketMilliseconds, good, bad, atMilliseconds);
+    void add(long atMilliseconds, int good, int bad) {
+        addToBucket(atMilliseconds / mBucketMilliseconds, good, bad);
     }
 
-    void addAll(List<BurnBucket> buckets, long nowMilliseconds) {
+    void addAll(List<BurnBucket> buckets) {
         for (BurnBucket bucket : buckets) {
-            addToBucket(bucket.getIndex(), bucket.getGood(), bucket.getBad(), nowMilliseconds);
+            addToBucket(bucket.getIndex(), bucket.getGood(), bucket.getBad());
         }
     }
 
     List<BurnBucket> buckets(long nowMilliseconds) {
-        expire(nowMilliseconds);
+        long now = nowMilliseconds / mBucketMilliseconds;
+        long oldest = Math.max(Math.max(0, oldestKept()), now - mGood.length + 1);
         List<BurnBucket> buckets = new ArrayList<>();
-        for (Map.Entry<Long, Counts> entry : mBuckets.entrySet()) {
-            buckets.add(
-                    BurnBucket.newBuilder()
-                            .setIndex(entry.getKey())
-                            .setGood(entry.getValue().mGood)
-                            .setBad(entry.getValue().mBad)
-                            .build());
+        for (long index = oldest; index <= mNewest; index++) {
+            int slot = slotOf(index);
+            if (mGood[slot] != 0 || mBad[slot] != 0) {
+                buckets.add(
+                        BurnBucket.newBuilder()
+                                .setIndex(index)
+                                .setGood(mGood[slot])
+                                .setBad(mBad[slot])
+                                .build());
+            }
         }
         return buckets;
     }
 
-    private void addToBucket(long index, long good, long bad, long nowMilliseconds) {
-        Counts counts = mBuckets.computeIfAbsent(index, key -> new Counts());
-        counts.mGood += good;
-        counts.mBad += bad;
-        expire(nowMilliseconds);
+    private void addToBucket(long index, long good, long bad) {
+        advanceTo(index);
+        if (index < oldestKept()) {
+            return;
+        }
+        int slot = slotOf(index);
+        mGood[slot] = saturated(mGood[slot] + good);
+        mBad[slot] = saturated(mBad[slot] + bad);
+    }
+
+    /** Empties the buckets between the newest one and a newer one. */
+    private void advanceTo(long index) {
+        long from = Math.max(mNewest, index - mGood.length) + 1;
+        for (long emptied = from; emptied <= index; emptied++) {
+            mGood[slotOf(emptied)] = 0;
+            mBad[slotOf(emptied)] = 0;
+        }
+        mNewest = Math.max(mNewest, index);
+    }
+
+    private long oldestKept() {
+        return mNewest - mGood.length + 1;
     }
 
-    private void expire(long nowMilliseconds) {
-        long oldest = nowMilliseconds / mBucketMilliseconds - mMaximumBuckets + 1;
-        mBuckets.headMap(oldest, false).clear();
+    private int slotOf(long index) {
+        return (int) (index % mGood.length);
     }
 
-    private static final class Counts {
-        private long mGood;
-        private long mBad;
+    private static int saturated(long count) {
+        return (int) Math.min(count, Integer.MAX_VALUE);
     }
 }
--- a/objectives/src/main/java/org/foxtailridge/objectives/count/ObjectiveCounters.java
+++ b/objectives/src/main/java/org/foxtailridge/objectives/count/ObjectiveCounters.java
@@ -26,8 +26,12 @@
     /** Length of a fine bucket. */
     public static final long MINUTE_MILLISECONDS = 60_000;
 
-    private static final int MINUTES_KEPT = 60;
-    private static final int COARSE_BUCKETS = 720;
+    /** Fine buckets of a series. */
+    public static final int MINUTES_KEPT = 60;
+
+    /** Coarse buckets of a series, which together are as long as the objective's window. */
+    public static final int COARSE_BUCKETS = 720;
+
     private static final long MILLISECONDS_PER_SECOND = 1_000;
     private static final String ALL = "*";
 
@@ -116,9 +120,8 @@
                     message.getCoarseList().stream().mapToLong(b -> b.getGood() + b.getBad()).sum();
             return;
         }
-        long now = mClock.millis();
-        series.mMinutes.addAll(message.getMinutesList(), now);
-        series.mCoarse.addAll(message.getCoarseList(), now);
+        series.mMinutes.addAll(message.getMinutesList());
+        series.mCoarse.addAll(message.getCoarseList());
     }
 
     private Objective matching(BurnSeries message) {
--- a/objectives/src/main/java/org/foxtailridge/objectives/report/BurnReport.java
+++ b/objectives/src/main/java/org/foxtailridge/objectives/report/BurnReport.java
@@ -55,16 +55,26 @@
     /** Builds a {@link BurnReport}. */
     public static final class Builder {
         private final long mAsOfMs;
-        private final List<BurnCounts> mCounts = new ArrayList<>();
+        private final Map<SeriesKey, MergedSeries> mMerged = new LinkedHashMap<>();
+        private final List<BurnCounts> mHandingOn = new ArrayList<>();
+        private final Set<String> mAbsorbed = new HashSet<>();
+        private final List<String> mReached = new ArrayList<>();
         private final List<String> mUnreached = new ArrayList<>();
+        private long mUncounted;
 
         private Builder(long asOfMs) {
             mAsOfMs = asOfMs;
         }
 
-        /** Adds the counts of a node. */
+        /** Adds the counts of a node. Only those that are on their way to another node are kept. */
         public Builder add(BurnCounts counts) {
-            mCounts.add(counts);
+            mReached.add(counts.getNode());
+            mAbsorbed.addAll(counts.getAbsorbedIdsList());
+            if (counts.getHandingOnId().isEmpty()) {
+                merge(counts);
+            } else {
+                mHandingOn.add(counts);
+            }
             return this;
         }
 
@@ -76,40 +86,33 @@
 
         /** Returns the report. */
         public BurnReport build() {
-            Map<SeriesKey, MergedSeries> merged = new LinkedHashMap<>();
-            long uncounted = 0;
-            Set<String> absorbed = absorbedIds();
-            for (BurnCounts counts : mCounts) {
-                if (!absorbed.contains(counts.getHandingOnId())) {
-                    uncounted += counts.getUncountedEvents();
-                    counts.getSeriesList().forEach(series -> add(merged, series));
-                }
-            }
+            mHandingOn.stream()
+                    .filter(counts -> !mAbsorbed.contains(counts.getHandingOnId()))
+                    .forEach(this::merge);
+            mHandingOn.clear();
             return new BurnReport(
                     mAsOfMs,
-                    mUnreached.isEmpty() && uncounted == 0,
-                    mCounts.stream().map(BurnCounts::getNode).sorted().toList(),
+                    mUnreached.isEmpty() && mUncounted == 0,
+                    mReached.stream().sorted().toList(),
                     mUnreached.stream().sorted().toList(),
-                    uncounted,
-                    rows(merged));
+                    mUncounted,
+                    rows(mMerged));
         }
 
-        private Set<String> absorbedIds() {
-            Set<String> absorbed = new HashSet<>();
-            mCounts.forEach(counts -> absorbed.addAll(counts.getAbsorbedIdsList()));
-            return absorbed;
-        }
-
-        private static void add(Map<SeriesKey, MergedSeries> merged, BurnSeries series) {
-            merged.computeIfAbsent(SeriesKey.of(series), key -> new MergedSeries(series))
-                    .add(series);
+        private void merge(BurnCounts counts) {
+            mUncounted += counts.getUncountedEvents();
+            for (BurnSeries series : counts.getSeriesList()) {
+                mMerged.computeIfAbsent(
+                                SeriesKey.of(series), key -> new MergedSeries(series, mAsOfMs))
+                        .add(series);
+            }
         }
 
         private List<BurnRow> rows(Map<SeriesKey, MergedSeries> merged) {
             List<BurnRow> rows = new ArrayList<>();
             for (MergedSeries series : merged.values()) {
                 if (!series.isEmpty()) {
-                    rows.add(series.toRow(mAsOfMs));
+                    rows.add(series.toRow());
                 }
             }
             Map<String, Double> worst = new HashMap<>();
--- a/objectives/src/main/java/org/foxtailridge/objectives/report/MergedSeries.java
+++ b/objectives/src/main/java/org/foxtailridge/objectives/report/MergedSeries.java
@@ -1,11 +1,8 @@
 package org.foxtailridge.objectives.report;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeMap;
 import org.foxtailridge.objectives.count.ObjectiveCounters;
-import org.foxtailridge.protocol.objectives.BurnBucket;
 import org.foxtailridge.protocol.objectives.BurnSeries;
 
 /** The counts of one series from all nodes together. */
@@ -13,26 +10,34 @@
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
     private final BurnSeries mFirst;
-    private final TreeMap<Long, BurnBucket> mMinutes = new TreeMap<>();
-    private final TreeMap<Long, BurnBucket> mCoarse = new TreeMap<>();
+    private final MergedBuckets mMinutes;
+    private final MergedBuckets mCoarse;
 
-    MergedSeries(BurnSeries first) {
+    MergedSeries(BurnSeries first, long nowMilliseconds) {
         mFirst = first;
+        mMinutes =
+                new MergedBuckets(
+                        nowMilliseconds / ObjectiveCounters.MINUTE_MILLISECONDS,
+                        ObjectiveCounters.MINUTES_KEPT);
+        mCoarse =
+                new MergedBuckets(
+                        nowMilliseconds / Math.max(1, first.getCoarseBucketMs()),
+                        ObjectiveCounters.COARSE_BUCKETS);
     }
 
     void add(BurnSeries series) {
-        series.getMinutesList().forEach(bucket -> add(mMinutes, bucket));
-        series.getCoarseList().forEach(bucket -> add(mCoarse, bucket));
+        mMinutes.addAll(series.getMinutesList());
+        mCoarse.addAll(series.getCoarseList());
     }
 
-    BurnRow toRow(long nowMilliseconds) {
-        long good = mCoarse.values().stream().mapToLong(BurnBucket::getGood).sum();
-        long bad = mCoarse.values().stream().mapToLong(BurnBucket::getBad).sum();
+    BurnRow toRow() {
+        long good = mCoarse.good(ObjectiveCounters.COARSE_BUCKETS);
+        long bad = mCoarse.bad(ObjectiveCounters.COARSE_BUCKETS);
         double allowed = (1 - mFirst.getTarget()) * (good + bad);
         List<BurnRow.BurnRate> rates = new ArrayList<>();
         for (BurnWindow window : BurnWindow.values()) {
             if (window.length().toSeconds() <= mFirst.getWindowSeconds()) {
-                rates.add(new BurnRow.BurnRate(window.label(), rate(window, nowMilliseconds)));
+                rates.add(new BurnRow.BurnRate(window.label(), rate(window)));
             }
         }
         return new BurnRow(
@@ -46,42 +51,28 @@
                 share(good, good + bad),
                 1 - bad / allowed,
                 rates,
-                BurnAlert.of(window -> rate(window, nowMilliseconds)));
+                BurnAlert.of(this::rate));
     }
 
     boolean isEmpty() {
-        return mCoarse.values().stream().allMatch(b -> b.getGood() + b.getBad() == 0);
+        return mCoarse.good(ObjectiveCounters.COARSE_BUCKETS) == 0
+                && mCoarse.bad(ObjectiveCounters.COARSE_BUCKETS) == 0;
     }
 
-    private double rate(BurnWindow window, long nowMilliseconds) {
-        Duration length = window.length();
-        if (length.toMillis() > mFirst.getWindowSeconds() * MILLISECONDS_PER_SECOND) {
+    private double rate(BurnWindow window) {
+        long length = window.length().toMillis();
+        if (length > mFirst.getWindowSeconds() * MILLISECONDS_PER_SECOND) {
             return 0;
         }
+        boolean fine = window.isFromMinutes();
         long bucket =
-                window.isFromMinutes()
+                fine
                         ? ObjectiveCounters.MINUTE_MILLISECONDS
-                        : mFirst.getCoarseBucketMs();
-        TreeMap<Long, BurnBucket> buckets = window.isFromMinutes() ? mMinutes : mCoarse;
-        long oldest = nowMilliseconds / bucket - Math.max(1, length.toMillis() / bucket) + 1;
-        long good = 0;
-        long bad = 0;
-        for (BurnBucket counted : buckets.tailMap(oldest, true).values()) {
-            good += counted.getGood();
-            bad += counted.getBad();
-        }
-        return share(bad, good + bad) / (1 - mFirst.getTarget());
-    }
-
-    private static void add(TreeMap<Long, BurnBucket> buckets, BurnBucket bucket) {
-        buckets.merge(
-                bucket.getIndex(),
-                bucket,
-                (one, other) ->
-                        one.toBuilder()
-                                .setGood(one.getGood() + other.getGood())
-                                .setBad(one.getBad() + other.getBad())
-                                .build());
+                        : Math.max(1, mFirst.getCoarseBucketMs());
+        MergedBuckets buckets = fine ? mMinutes : mCoarse;
+        int newest = (int) Math.max(1, length / bucket);
+        long bad = buckets.bad(newest);
+        return share(bad, buckets.good(newest) + bad) / (1 - mFirst.getTarget());
     }
 
     private static double share(long part, long whole) {
