--- a/bench/src/main/java/org/foxtailridge/bench/objectives/BurnCost.java
+++ b/bench/src/main/java/org/foxtailridge/bench/objectives/BurnCost.java
@@ -92,11 +92,11 @@
     }
 
     private double mergeMilliseconds(BurnCounts counts, int nodes) {
+        Instant start = mRealTime.instant();
         BurnReport.Builder report = BurnReport.builder(mClock.millis());
         for (int node = 0; node < nodes; node++) {
             report.add(counts);
         }
-        Instant start = mRealTime.instant();
         report.build();
         return millisecondsSince(start);
     }
--- a/cli/src/main/java/org/foxtailridge/cli/node/BurnCollector.java
+++ b/cli/src/main/java/org/foxtailridge/cli/node/BurnCollector.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.cli.node;
 
+import com.google.common.collect.Lists;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
 import java.util.Optional;
@@ -10,9 +11,10 @@
 import org.foxtailridge.platform.http.JsonAnswer;
 import org.foxtailridge.protocol.objectives.BurnCounts;
 
-/** Asks nodes for what they have counted, all at once. */
+/** Asks nodes for what they have counted, a bounded number of them at once. */
 final class BurnCollector {
     private static final String PATH = "/burn";
+    private static final int NODES_AT_ONCE = 32;
 
     private final Connection mConnection;
 
@@ -25,6 +27,11 @@
      */
     BurnReport collect(List<NodeAddress> nodes, long asOfMs) {
         BurnReport.Builder report = BurnReport.builder(asOfMs);
+        Lists.partition(nodes, NODES_AT_ONCE).forEach(some -> collect(some, report));
+        return report.build();
+    }
+
+    private void collect(List<NodeAddress> nodes, BurnReport.Builder report) {
         List<CompletableFuture<Optional<BurnCounts>>> answers =
                 nodes.stream().map(this::ask).toList();
         for (int node = 0; node < nodes.size(); node++) {
@@ -34,7 +41,6 @@
                 report.unreachable(nodes.get(node).node());
             }
         }
-        return report.build();
     }
 
     private CompletableFuture<Optional<BurnCounts>> ask(NodeAddress node) {
