--- a/cli/src/main/java/org/foxtailridge/cli/terminal/ProcessTerminal.java
+++ b/cli/src/main/java/org/foxtailridge/cli/terminal/ProcessTerminal.java
@@ -56,6 +56,7 @@
                 new Thread(
                         () -> {
                             close(running);
+                            LogManager.shutdown();
                             stopped.countDown();
                         },
                         "stop");
