--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/Fleet.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/Fleet.java
@@ -69,7 +69,7 @@
         mVms = VmListStandin.builder().start();
         mService = ServiceStandin.builder().start();
         for (int index = 0; index < builder.mEngines; index++) {
-            mEngines.add(startEngine(index, builder.mEngineSettings));
+            mEngines.add(startEngine(index, builder));
         }
         mOperator = new Operator(mLog.address().toString());
         mOperator.set(entries(builder).toArray(new ConfigurationEntry[0]));
@@ -172,16 +172,18 @@
                                         == 200);
     }
 
-    private EngineStandin startEngine(int index, UnaryOperator<EngineStandin.Builder> settings) {
+    private EngineStandin startEngine(int index, Builder settings) {
         EngineStandin.Builder builder =
                 EngineStandin.builder("engine-" + index)
                         .seed(index)
                         .memoryBytes(16 * GIB)
-                        .preload(Preloaded.model(MODEL, "1", 2 * GIB, GIB))
                         .firstToken(Duration.ofMillis(2))
                         .betweenTokens(Duration.ofMillis(1))
                         .loadReportLag(Duration.ofMillis(20));
-        return settings.apply(builder).start();
+        if (settings.mPreload) {
+            builder.preload(Preloaded.model(MODEL, "1", 2 * GIB, GIB));
+        }
+        return settings.mEngineSettings.apply(builder).start();
     }
 
     private NodeProcess startNode(int index) {
@@ -229,7 +231,15 @@
         List<ConfigurationEntry> entries = new ArrayList<>();
         List<String> all = List.of("*");
         entries.add(
-                new Plan("large", builder.mLargeRate, builder.mLargeBurst, all, all, all, 60, 256));
+                new Plan(
+                        "large",
+                        builder.mLargeRate,
+                        builder.mLargeBurst,
+                        all,
+                        all,
+                        all,
+                        builder.mStalenessSeconds,
+                        256));
         entries.add(new Plan("small", 20, 200, List.of(MODEL), List.of(), List.of(), 60, 16));
         entries.add(new ClientAccount("auctions", "large"));
         entries.add(new ClientAccount("studio", "small"));
@@ -291,6 +301,8 @@
     public static final class Builder {
         private int mNodes = 1;
         private int mEngines = 1;
+        private boolean mPreload = true;
+        private int mStalenessSeconds = 60;
         private long mLargeRate = 1_000_000;
         private long mLargeBurst = 10_000_000;
         private UnaryOperator<EngineStandin.Builder> mEngineSettings = UnaryOperator.identity();
@@ -309,6 +321,18 @@
             return this;
         }
 
+        /** Starts engines without any model, so that placement has to load it. */
+        public Builder withoutPreload() {
+            mPreload = false;
+            return this;
+        }
+
+        /** Sets the staleness that the large plan allows, in seconds. */
+        public Builder staleness(int seconds) {
+            mStalenessSeconds = seconds;
+            return this;
+        }
+
         /** Sets rate and burst of the large plan, in tokens a second and tokens. */
         public Builder largePlan(long rate, long burst) {
             mLargeRate = rate;
