--- a/configuration/src/main/java/org/foxtailridge/configuration/check/AddressCheck.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/check/AddressCheck.java
@@ -1,19 +1,21 @@
 package org.foxtailridge.configuration.check;
 
-import java.net.URI;
-import java.net.URISyntaxException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.configuration.model.Endpoint;
 
 /** Addresses of endpoints are HTTP addresses, each of one endpoint. */
 final class AddressCheck implements ConfigurationCheck {
+    private static final Pattern HTTP_ADDRESS =
+            Pattern.compile("https?://([A-Za-z0-9.-]+|\\[[0-9A-Fa-f:.]+]):[1-9][0-9]{0,4}(/.*)?");
+
     @Override
     public void check(Configuration configuration, ProblemSink problems) {
         Map<String, Endpoint> seen = new HashMap<>();
         for (Endpoint endpoint : configuration.all(Endpoint.class)) {
-            if (!isHttpAddress(endpoint.address())) {
+            if (!HTTP_ADDRESS.matcher(endpoint.address()).matches()) {
                 String message =
                         "expected http://HOST:PORT or https://HOST:PORT but was \""
                                 + endpoint.address()
@@ -32,14 +34,4 @@
             }
         }
     }
-
-    private static boolean isHttpAddress(String address) {
-        try {
-            URI uri = new URI(address);
-            boolean http = "http".equals(uri.getScheme()) || "https".equals(uri.getScheme());
-            return http && uri.getHost() != null && uri.getPort() > 0;
-        } catch (URISyntaxException malformed) {
-            return false;
-        }
-    }
 }
--- a/configuration/src/main/java/org/foxtailridge/configuration/check/MemoryCheck.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/check/MemoryCheck.java
@@ -1,7 +1,10 @@
 package org.foxtailridge.configuration.check;
 
+import com.google.common.collect.ListMultimap;
+import com.google.common.collect.MultimapBuilder;
 import com.google.common.math.LongMath;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -25,7 +28,7 @@
         if (configuration.all(Endpoint.class).stream().noneMatch(MemoryCheck::isEngine)) {
             return;
         }
-        List<Room> rooms = rooms(configuration);
+        ListMultimap<String, Room> roomsByPool = roomsByPool(configuration);
         Map<String, Long> largestAdapters = largestAdapters(configuration);
         List<Need> needs = new ArrayList<>();
         for (Model model : configuration.all(Model.class)) {
@@ -33,19 +36,14 @@
         }
         needs.sort(Need.LARGEST_FIRST);
         for (Need need : needs) {
-            place(need, rooms, problems);
+            place(need, need.rooms(roomsByPool), problems);
         }
     }
 
-    private static void place(Need need, List<Room> rooms, ProblemSink problems) {
+    private static void place(Need need, Collection<Room> rooms, ProblemSink problems) {
         Room best = null;
-        int suitable = 0;
         long largestFree = 0;
         for (Room room : rooms) {
-            if (!need.allows(room.mEndpoint)) {
-                continue;
-            }
-            suitable++;
             largestFree = Math.max(largestFree, room.mFreeBytes);
             if (room.mFreeBytes >= need.bytes() && (best == null || room.isTighterThan(best))) {
                 best = room;
@@ -53,7 +51,7 @@
         }
         if (best != null) {
             best.mFreeBytes -= need.bytes();
-        } else if (suitable == 0) {
+        } else if (rooms.isEmpty()) {
             String message =
                     "expected a pool with engines that are not leaving but was "
                             + need.mModel.pools();
@@ -63,15 +61,15 @@
                     ProblemKind.MEMORY_SHORT,
                     need.mModel,
                     "weights_bytes",
-                    need.arithmetic(suitable, largestFree));
+                    need.arithmetic(rooms.size(), largestFree));
         }
     }
 
-    private static List<Room> rooms(Configuration configuration) {
-        List<Room> rooms = new ArrayList<>();
+    private static ListMultimap<String, Room> roomsByPool(Configuration configuration) {
+        ListMultimap<String, Room> rooms = MultimapBuilder.treeKeys().arrayListValues().build();
         for (Endpoint endpoint : configuration.all(Endpoint.class)) {
             if (isEngine(endpoint) && !endpoint.leaving()) {
-                rooms.add(new Room(endpoint));
+                rooms.put(endpoint.pool(), new Room(endpoint.memoryBytes()));
             }
         }
         return rooms;
@@ -90,12 +88,10 @@
     }
 
     private static final class Room {
-        private final Endpoint mEndpoint;
         private long mFreeBytes;
 
-        private Room(Endpoint endpoint) {
-            mEndpoint = endpoint;
-            mFreeBytes = endpoint.memoryBytes();
+        private Room(long freeBytes) {
+            mFreeBytes = freeBytes;
         }
 
         private boolean isTighterThan(Room other) {
@@ -122,8 +118,16 @@
             return LongMath.saturatedAdd(model, mAdapterBytes);
         }
 
-        private boolean allows(Endpoint endpoint) {
-            return mModel.pools().isEmpty() || mModel.pools().contains(endpoint.pool());
+        private Collection<Room> rooms(ListMultimap<String, Room> roomsByPool) {
+            if (mModel.pools().isEmpty()) {
+                return roomsByPool.values();
+            }
+            if (mModel.pools().size() == 1) {
+                return roomsByPool.get(mModel.pools().get(0));
+            }
+            List<Room> rooms = new ArrayList<>();
+            mModel.pools().stream().distinct().forEach(pool -> rooms.addAll(roomsByPool.get(pool)));
+            return rooms;
         }
 
         private String arithmetic(int suitable, long largestFree) {
--- a/configuration/src/test/java/org/foxtailridge/configuration/publish/EditPublicationTest.java
+++ b/configuration/src/test/java/org/foxtailridge/configuration/publish/EditPublicationTest.java
@@ -90,6 +90,25 @@
         assertThat(publication.outcome().orElseThrow().status()).isEqualTo(OutcomeStatus.LOST);
     }
 
+    @Test
+    void should_catch_a_second_append_under_another_identifier() {
+        // GIVEN an append that took effect and whose answer was lost
+        ConfigurationFold fold = ConfigurationFold.create();
+        append(fold, RecordCodec.write(edit("mine", 5)));
+        // WHEN the same change is appended blindly under another identifier
+        append(fold, RecordCodec.write(edit("again", 5)));
+        // THEN its author would be told that it lost, although it is in force
+        assertThat(fold.state().outcomeOf("again").orElseThrow().status())
+                .isEqualTo(OutcomeStatus.LOST);
+        // WHEN the publication reads back instead
+        EditPublication publication = new EditPublication(edit("mine", 5), 1);
+        publication.onSent();
+        publication.onAnswerLost(START);
+        publication.onState(fold.state(), START);
+        // THEN
+        assertThat(publication.outcome().orElseThrow().status()).isEqualTo(OutcomeStatus.IN_FORCE);
+    }
+
     private static void send(
             EditPublication publication,
             ConfigurationFold fold,
--- a/membership/src/main/java/org/foxtailridge/membership/probe/Membership.java
+++ b/membership/src/main/java/org/foxtailridge/membership/probe/Membership.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.membership.probe;
 
+import com.google.common.collect.Iterables;
 import java.time.Clock;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -53,6 +54,7 @@
     private final MemberTable mTable;
     private final ProbeRounds mRounds;
     private final Map<NodeName, ListedVm> mListed = new HashMap<>();
+    private final Set<NodeName> mListedLeaving = new HashSet<>();
     private final ForwardedProbes mForwarded;
     private long mSequence;
     private long mProbes;
@@ -102,9 +104,13 @@
         boolean changed = false;
         Map<NodeName, ListedVm> previous = new HashMap<>(mListed);
         mListed.clear();
+        mListedLeaving.clear();
         for (ListedVm vm : listed) {
             changed |= !vm.equals(previous.get(vm.node()));
             mListed.put(vm.node(), vm);
+            if (vm.leaving()) {
+                mListedLeaving.add(vm.node());
+            }
             mTable.merge(new Member(vm.node(), vm.dataCentre(), 0, 0, MemberState.ALIVE), now);
         }
         for (Member member : List.copyOf(mTable.all())) {
@@ -333,13 +339,14 @@
     }
 
     private Member anyMember() {
-        List<Member> members = List.copyOf(mTable.all());
-        return members.get(mRandom.nextInt(members.size()));
+        return Iterables.get(mTable.all(), mRandom.nextInt(mTable.size()));
     }
 
     private Member asListed(Member member) {
-        ListedVm vm = mListed.get(member.node());
-        boolean leaving = vm != null && vm.leaving() && member.takesDuties();
+        boolean leaving =
+                !mListedLeaving.isEmpty()
+                        && member.takesDuties()
+                        && mListedLeaving.contains(member.node());
         return leaving ? member.withState(MemberState.LEAVING) : member;
     }
 
--- a/membership/src/main/java/org/foxtailridge/membership/probe/MembershipSettings.java
+++ b/membership/src/main/java/org/foxtailridge/membership/probe/MembershipSettings.java
@@ -94,7 +94,7 @@
         private int mIndirectProbes = 3;
         private int mUpdatesPerMessage = 12;
         private int mSpreadFactor = 3;
-        private int mFarProbeEvery = 10;
+        private int mFarProbeEvery = 3;
         private int mDeadProbeEvery = 5;
         private int mMaximumMembers = 4_096;
 
--- a/membership/src/main/java/org/foxtailridge/membership/probe/ProbeRounds.java
+++ b/membership/src/main/java/org/foxtailridge/membership/probe/ProbeRounds.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -18,7 +19,7 @@
 
     /** Returns the next of the candidates; empty when there is none. */
     Optional<NodeName> next(Collection<NodeName> candidates) {
-        mLeft.retainAll(candidates);
+        mLeft.retainAll(new HashSet<>(candidates));
         if (mLeft.isEmpty()) {
             mLeft.addAll(candidates);
         }
