--- a/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
@@ -88,8 +88,8 @@
         AccountLimiter limiter = mAccounts.get(reservation.account());
         mReservations
                 .close(reservation)
-                .filter(origin -> limiter != null)
-                .ifPresent(origin -> limiter.settle(reservation, origin, usedTokens, now()));
+                .filter(spent -> limiter != null)
+                .ifPresent(spent -> limiter.settle(reservation, spent, usedTokens, now()));
     }
 
     @Override
@@ -148,6 +148,13 @@
                     limiter.receive(sender, message.getGrantAnswer(), now());
                 }
             }
+            case GRANT_RECALL -> {
+                AccountLimiter limiter =
+                        mAccounts.get(ClientAccountName.of(message.getGrantRecall().getAccount()));
+                if (limiter != null) {
+                    limiter.recalled(message.getGrantRecall().getFencing(), now());
+                }
+            }
             default -> {
                 // A newer version's message; there is nothing to do for it here.
             }
--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -13,9 +13,11 @@
 import org.foxtailridge.node.duty.ClaimsDuty;
 import org.foxtailridge.node.duty.ConfigurationDuty;
 import org.foxtailridge.node.duty.DutyTimer;
+import org.foxtailridge.node.duty.LeasesDuty;
 import org.foxtailridge.node.duty.LimitsDuty;
 import org.foxtailridge.node.duty.MembershipDuty;
 import org.foxtailridge.node.duty.NodeState;
+import org.foxtailridge.node.duty.PlacementDuty;
 import org.foxtailridge.node.duty.QuarantineDuty;
 import org.foxtailridge.node.duty.ReportsDuty;
 import org.foxtailridge.node.duty.RoutingDuty;
@@ -41,8 +43,12 @@
     private final CallerServer mCallers;
     private final OperatorServer mOperators;
     private final PeerNetwork mPeers;
-    private final ConfigurationDuty mConfiguration;
+    private final LeasesDuty mLeases;
+    private final LimitsDuty mLimits;
+    private final MembershipDuty mMembership;
+    private final RoutingDuty mRouting;
     private final ClaimsDuty mClaims;
+    private final PlacementDuty mPlacement;
     private final RunningRequests mRunning;
     private final NodeState mState;
     private final StatusReport mStatus;
@@ -62,7 +68,9 @@
             ReportsDuty reports,
             QuarantineDuty quarantine,
             ClaimsDuty claims,
+            PlacementDuty placement,
             MembershipDuty membership,
+            LeasesDuty leases,
             RunningRequests running,
             NodeState state,
             StatusReport status,
@@ -73,13 +81,26 @@
         mCallers = callers;
         mOperators = operators;
         mPeers = peers;
-        mConfiguration = configuration;
+        mLeases = leases;
+        mLimits = limits;
+        mMembership = membership;
+        mRouting = routing;
         mClaims = claims;
+        mPlacement = placement;
         mRunning = running;
         mState = state;
         mStatus = status;
         mTimer = timer;
-        mDuties = List.of(configuration, reports, routing, quarantine, claims, membership, limits);
+        mDuties =
+                List.of(
+                        configuration,
+                        reports,
+                        routing,
+                        quarantine,
+                        claims,
+                        leases,
+                        membership,
+                        limits);
         mClients = List.of(controlClient, endpointClient);
     }
 
@@ -114,6 +135,10 @@
     public void stop() {
         LOGGER.info("stopping with {} requests running", mRunning.count());
         mState.beginStop();
+        mMembership.leave();
+        mLimits.releaseHomes();
+        mLeases.releaseAll().join();
+        mRouting.stopAccepting();
         try {
             mRunning.drained(mSettings.stopTimeout()).join();
         } catch (CompletionException timeout) {
@@ -129,8 +154,8 @@
     }
 
     private void listen() {
-        mConfiguration.start();
         mClaims.start();
+        mPlacement.start();
         mOperators.start();
         mCallers.start();
         LOGGER.info(
