Keep one version of a model on an engine at a time

Engines hold a model under its name and refuse a second version of it; the planner put the new version beside the old one where there was room, and such a load failed again and again. The new version now goes to an engine without the model or in place of a spare copy. An adapter's older version is removed first.

The simulated engine refuses a second version as well.

--- a/placement/src/main/java/org/foxtailridge/placement/adapter/AdapterCache.java
+++ b/placement/src/main/java/org/foxtailridge/placement/adapter/AdapterCache.java
@@ -29,7 +29,8 @@
 
     /**
      * Notes that a request wants an adapter and returns the step towards it: its load if there is
-     * room, else the removal of the adapter that was wanted least recently.
+     * room, else the removal of the adapter that was wanted least recently. An older version of it
+     * is removed first, as an engine may hold one version only.
      *
      * @param adapter listed adapter
      * @param serving what is resident on the endpoint and not on its way out
@@ -48,6 +49,11 @@
         if (!hasModel || serving.contains(artifact)) {
             return Optional.empty();
         }
+        Optional<Artifact> older =
+                serving.stream().filter(held -> isOtherVersion(held, artifact)).findFirst();
+        if (older.isPresent()) {
+            return older.map(held -> step(OrderAction.UNLOAD_ADAPTER, held, 0));
+        }
         if (ledger.fits(artifact, adapter.bytes())) {
             return Optional.of(step(OrderAction.LOAD_ADAPTER, artifact, adapter.bytes()));
         }
@@ -57,6 +63,12 @@
                 .map(held -> step(OrderAction.UNLOAD_ADAPTER, held, 0));
     }
 
+    private static boolean isOtherVersion(Artifact held, Artifact artifact) {
+        return !held.isModel()
+                && held.name().equals(artifact.name())
+                && held.model().equals(artifact.model());
+    }
+
     private OrderRequest step(OrderAction action, Artifact artifact, long bytes) {
         return new OrderRequest(mEndpoint, action, artifact, bytes, 0, List.of());
     }
--- a/placement/src/main/java/org/foxtailridge/placement/plan/ReachabilityPhase.java
+++ b/placement/src/main/java/org/foxtailridge/placement/plan/ReachabilityPhase.java
@@ -36,7 +36,7 @@
     private static void place(Draft draft, ModelState model) {
         Optional<Slot> free =
                 draft.slots().stream()
-                        .filter(slot -> isAllowed(model, slot))
+                        .filter(slot -> draft.isEligible(model, slot))
                         .filter(slot -> draft.fits(model, slot))
                         .min(
                                 Comparator.comparingDouble(Slot::load)
@@ -69,7 +69,7 @@
         return best != null;
     }
 
-    /** Returns whether the endpoint may take the model, beside or in place of an older version. */
+    /** Returns whether the endpoint may take the model, also in place of an older version. */
     private static boolean isAllowed(ModelState model, Slot slot) {
         return slot.mView.takesWork()
                 && model.mNeed.allows(slot.mView.pool())
--- a/placement/src/main/java/org/foxtailridge/placement/plan/RoomMaker.java
+++ b/placement/src/main/java/org/foxtailridge/placement/plan/RoomMaker.java
@@ -22,12 +22,28 @@
      */
     record Clearing(List<Holder> victims, double cost) {}
 
-    /** Returns the cheapest copies whose going makes room for the model, if there are any. */
+    /**
+     * Returns the cheapest copies whose going makes room for the model, if there are any. An older
+     * version of the model on the endpoint must go, as an engine may hold one version only.
+     */
     Optional<Clearing> clear(ModelState model, Slot slot, boolean urgent) {
         long missing = model.mNeed.footprintBytes() - slot.mFreeBytes;
         List<Holder> victims = new ArrayList<>();
         double cost = 0;
+        for (Holder holder : slot.mHolders) {
+            if (holder.mModel != model) {
+                continue;
+            }
+            if (!holder.isLasting() || !isSpare(holder)) {
+                return Optional.empty();
+            }
+            victims.add(holder);
+            missing -= holder.mBytes + model.mNeed.adapterRoomBytes();
+        }
         for (Holder holder : candidates(slot, urgent)) {
+            if (holder.mModel == model) {
+                continue;
+            }
             if (missing <= 0) {
                 break;
             }
--- a/placement/src/test/java/org/foxtailridge/placement/plan/PlannedFleet.java
+++ b/placement/src/test/java/org/foxtailridge/placement/plan/PlannedFleet.java
@@ -101,6 +101,11 @@
         if (step.action() == OrderAction.LOAD_MODEL) {
             mLoads.add(step);
             endpoint.mCopies.put(step.artifact(), CopyState.COMING);
+            long versions =
+                    endpoint.mCopies.keySet().stream()
+                            .filter(held -> held.name().equals(step.artifact().name()))
+                            .count();
+            endpoint.mVersionsAtOnce = Math.max(endpoint.mVersionsAtOnce, versions);
             return;
         }
         mUnloads.add(step);
@@ -120,6 +125,7 @@
         final Map<Artifact, Long> mBytes = new LinkedHashMap<>();
         boolean mLive = true;
         boolean mLeaving;
+        long mVersionsAtOnce;
 
         PlannedEndpoint(String name, String dataCentre, long memoryBytes) {
             mName = name;
@@ -141,6 +147,11 @@
                                                     && entry.getValue() == CopyState.SERVING);
         }
 
+        /** Returns whether it has never held two versions of a model at a time. */
+        boolean hasOneVersion() {
+            return mVersionsAtOnce <= 1;
+        }
+
         long freeBytes() {
             return mMemoryBytes - mCopies.keySet().stream().mapToLong(this::bytesOf).sum();
         }
--- a/placement/src/test/java/org/foxtailridge/placement/simulation/SimulatedEngine.java
+++ b/placement/src/test/java/org/foxtailridge/placement/simulation/SimulatedEngine.java
@@ -129,6 +129,16 @@
                         ? OrderAnswer.DONE
                         : OrderAnswer.FAILED;
             }
+            boolean otherVersion =
+                    mHoldings.keySet().stream()
+                            .anyMatch(
+                                    artifact ->
+                                            artifact.kind() == order.artifact().kind()
+                                                    && artifact.name()
+                                                            .equals(order.artifact().name()));
+            if (otherVersion) {
+                return OrderAnswer.FAILED;
+            }
             hold(order.artifact(), order.bytes(), order.workingBytes(), ResidentState.LOADING);
         } else {
             if (held == null) {
