--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionHandler.java
@@ -41,6 +41,7 @@
             Configuration configuration = mServices.configuration().current();
             ModelChoice choice = ModelChoice.find(configuration, caller, request.model());
             requireContext(choice, request);
+            mServices.running().requireRoom(caller);
             run(exchange, caller, request, choice, body).start();
         } catch (FoxtailridgeException refusal) {
             exchange.fail(refusal);
--- a/node/src/main/java/org/foxtailridge/node/caller/RefusedException.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/RefusedException.java
@@ -14,7 +14,7 @@
     static RefusedException keyRefused() {
         return of(
                 ErrorKind.KEY_REFUSED,
-                "expected the key of a client account in Authorization: Bearer but was none");
+                "expected a key in force in Authorization: Bearer but there was none");
     }
 
     static RefusedException notOnPlan(String plan, String name) {
@@ -48,6 +48,15 @@
                         + " seconds ago");
     }
 
+    static RefusedException tooManyConnections(int allowed, int actual) {
+        return of(
+                ErrorKind.TOO_MANY_CONNECTIONS,
+                "expected at most "
+                        + allowed
+                        + " requests of the client account at a time on this VM but was "
+                        + actual);
+    }
+
     static RefusedException stopping() {
         return of(ErrorKind.STOPPING, "this VM is stopping; another one serves");
     }
--- a/node/src/main/java/org/foxtailridge/node/caller/RunningRequests.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/RunningRequests.java
@@ -1,6 +1,7 @@
 package org.foxtailridge.node.caller;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -15,6 +16,7 @@
 @Singleton
 public final class RunningRequests {
     private final Set<RunningRequest> mRunning = ConcurrentHashMap.newKeySet();
+    private final Map<String, Integer> mCounts = new ConcurrentHashMap<>();
     private volatile CompletableFuture<Void> mDrained;
 
     /** Creates an empty set that follows the configuration. */
@@ -23,14 +25,31 @@
         configuration.listen((former, current) -> endWithdrawn(current));
     }
 
+    /**
+     * Refuses a request of a caller whose plan allows no more at a time on this VM.
+     *
+     * @throws RefusedException with kind {@code TOO_MANY_CONNECTIONS}
+     */
+    void requireRoom(Caller caller) {
+        int running = mCounts.getOrDefault(caller.clientAccount(), 0);
+        if (running >= caller.plan().maximumConnections()) {
+            throw RefusedException.tooManyConnections(
+                    caller.plan().maximumConnections(), running + 1);
+        }
+    }
+
     /** Adds a request. */
     void add(RunningRequest request) {
         mRunning.add(request);
+        mCounts.merge(request.clientAccount(), 1, Integer::sum);
     }
 
     /** Removes a request that has ended. */
     void remove(RunningRequest request) {
-        mRunning.remove(request);
+        if (mRunning.remove(request)) {
+            mCounts.computeIfPresent(
+                    request.clientAccount(), (account, count) -> count == 1 ? null : count - 1);
+        }
         completeDrained();
     }
 
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
@@ -74,6 +74,7 @@
         }
         Caller caller = mAuthentication.authenticate(exchange);
         caller.requireService(service.name());
+        mServices.running().requireRoom(caller);
         return Optional.of(caller);
     }
 
--- a/node/src/main/java/org/foxtailridge/node/duty/ConfigurationDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ConfigurationDuty.java
@@ -41,6 +41,7 @@
     private static final String READER_DUTY = "configuration-reader";
     private static final int READERS_FOR_EACH_DATA_CENTRE = 3;
     private static final int RING_TASKS = 4096;
+    private static final Duration SNAPSHOT_STALENESS = Duration.ofSeconds(10);
     private static final Duration TICK = Duration.ofMillis(100);
 
     private final DutyThread mThread;
@@ -88,7 +89,15 @@
 
     private void tick() {
         mFollower.tick();
-        mSnapshots.tick(mFollower.state());
+        boolean current =
+                mFollower
+                        .status()
+                        .staleness()
+                        .filter(age -> age.compareTo(SNAPSHOT_STALENESS) < 0)
+                        .isPresent();
+        if (current) {
+            mSnapshots.tick(mFollower.state());
+        }
     }
 
     private void onMembership(MembershipView known) {
--- a/node/src/main/java/org/foxtailridge/node/duty/ReportsDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ReportsDuty.java
@@ -29,6 +29,7 @@
     private final DutyThread mThread;
     private final EngineClient mEngines;
     private final ConfigurationView mConfiguration;
+    private final CacheEventReader mCacheEvents;
     private final RoutingDuty mRouting;
     private final QuarantineDuty mQuarantine;
     private final List<BiConsumer<EndpointName, Optional<LoadReport>>> mListeners =
@@ -50,6 +51,7 @@
         mRouting = routing;
         mQuarantine = quarantine;
         mThread = DutyThread.start("reports", RING_TASKS);
+        mCacheEvents = new CacheEventReader(engines, routing, mThread);
         timer.every(settings.reportInterval(), mThread, this::askAll);
     }
 
@@ -99,6 +101,7 @@
         noteStart(name, report.incarnation());
         boolean leaving = endpoint.leaving() || report.leaving();
         mRouting.endpointChanged(name, leaving ? EndpointState.LEAVING : EndpointState.UP);
+        mCacheEvents.ask(name, endpoint.address(), report.incarnation());
         mRouting.loadReported(name, RoutingReports.from(report));
         tell(name, Optional.of(report));
     }
--- a/node/src/main/java/org/foxtailridge/node/peer/PeerLink.java
+++ b/node/src/main/java/org/foxtailridge/node/peer/PeerLink.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.protocol.envelope.Envelope;
@@ -19,6 +20,7 @@
 /** The connection on which this node sends to one other node; opened when first needed. */
 final class PeerLink {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 1000;
+    private static final int RECONNECT_MILLISECONDS = 200;
     private static final int LOW_WATER_BYTES = 256 * 1024;
     private static final int HIGH_WATER_BYTES = 8 * 1024 * 1024;
 
@@ -97,10 +99,16 @@
 
     private void onConnected(ChannelFuture connected) {
         if (!connected.isSuccess()) {
-            mConnecting.set(false);
+            allowReconnect();
             return;
         }
-        connected.channel().closeFuture().addListener(closed -> mConnecting.set(false));
+        connected.channel().closeFuture().addListener(closed -> allowReconnect());
+    }
+
+    /** Lets the next message open a connection, but not at once. */
+    private void allowReconnect() {
+        mEventLoops.schedule(
+                () -> mConnecting.set(false), RECONNECT_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 
     private void onProven(ChannelHandlerContext context, NodeName node) {
