Tighten the proof of rate and burst so that it can fail

Cause: on the mutated node, where each node alone had the whole rate, RateLimitTest still passed: the window began before the nodes started, so that the rate over 15 s of start-up left room for three times the limit. Change: the window begins with the first request; rate 200 and burst 1,000 tokens, with about 14,000 asked for. The bound stays burst + rate x time, now over the tighter window.

--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/RateLimitTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/RateLimitTest.java
@@ -20,8 +20,8 @@
 
 /** Keeps a client account within rate and burst over all nodes, also while nodes die or pause. */
 class RateLimitTest {
-    private static final long RATE = 500;
-    private static final long BURST = 4000;
+    private static final long RATE = 200;
+    private static final long BURST = 1000;
     private static final int REQUEST_TOKENS = 40;
     private static final int ROUNDS = 12;
     private static final int COPIES = 10;
@@ -29,11 +29,13 @@
     private final Clock mClock = MonotonicClock.start();
     private Fleet mFleet;
     private Instant mBegan;
+    private long mServedBefore;
 
     @BeforeEach
     void start() {
-        mBegan = mClock.instant();
         mFleet = Fleet.builder().nodes(3).engines(2).largePlan(RATE, BURST).start();
+        mServedBefore = servedTokens();
+        mBegan = mClock.instant();
     }
 
     @AfterEach
@@ -127,7 +129,7 @@
     private void assertWithinLimit() {
         double seconds = Duration.between(mBegan, mClock.instant()).toMillis() / 1000.0;
         long allowed = BURST + (long) Math.ceil(RATE * seconds);
-        assertThat(servedTokens()).isPositive().isLessThanOrEqualTo(allowed);
+        assertThat(servedTokens() - mServedBefore).isPositive().isLessThanOrEqualTo(allowed);
     }
 
     /** Counts what the engines generated, by their own record. */
