Count burn on each node, serve it, hand it on at a planned stop

Cause: the module objectives counted, merged and handed on, but no node fed it, so `foxtailridge report` found nothing at /burn.

Completions and service calls are recorded when they are whole or fail with a status of 500 or above; refusals of the caller's own (401, 404, 422, 429 and the like) and callers that went away are left out. An answer of a service counts as its first token.

--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -17,6 +17,7 @@
 import org.foxtailridge.node.duty.LimitsDuty;
 import org.foxtailridge.node.duty.MembershipDuty;
 import org.foxtailridge.node.duty.NodeState;
+import org.foxtailridge.node.duty.ObjectivesDuty;
 import org.foxtailridge.node.duty.PlacementDuty;
 import org.foxtailridge.node.duty.QuarantineDuty;
 import org.foxtailridge.node.duty.ReportsDuty;
@@ -49,6 +50,7 @@
     private final RoutingDuty mRouting;
     private final ClaimsDuty mClaims;
     private final PlacementDuty mPlacement;
+    private final ObjectivesDuty mObjectives;
     private final RunningRequests mRunning;
     private final NodeState mState;
     private final StatusReport mStatus;
@@ -71,6 +73,7 @@
             PlacementDuty placement,
             MembershipDuty membership,
             LeasesDuty leases,
+            ObjectivesDuty objectives,
             RunningRequests running,
             NodeState state,
             StatusReport status,
@@ -87,6 +90,7 @@
         mRouting = routing;
         mClaims = claims;
         mPlacement = placement;
+        mObjectives = objectives;
         mRunning = running;
         mState = state;
         mStatus = status;
@@ -100,7 +104,8 @@
                         claims,
                         leases,
                         membership,
-                        limits);
+                        limits,
+                        objectives);
         mClients = List.of(controlClient, endpointClient);
     }
 
@@ -144,6 +149,7 @@
         } catch (CompletionException timeout) {
             LOGGER.warn("{} requests did not end in time", mRunning.count());
         }
+        mObjectives.handOver().join();
         mCallers.stop();
         mTimer.close();
         mDuties.forEach(Node::closeQuietly);
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionRun.java
@@ -38,6 +38,7 @@
 final class CompletionRun implements RunningRequest, DispatchListener {
     private static final Logger LOGGER = LogManager.getLogger(CompletionRun.class);
     private static final Duration RETRY_PATIENCE = Duration.ofSeconds(10);
+    private static final int LOWEST_FAILURE_STATUS = 500;
     private static final int MAXIMUM_RESUMES = 3;
     private static final int MAXIMUM_KEPT_CHARACTERS = 1 << 20;
 
@@ -423,12 +424,16 @@
 
     private void finish() {
         endAttempt(AttemptEnd.FINISHED);
+        mServices.objectives().record(mTimes.whole(mCaller.clientAccount()));
         close();
         mSink.finish(mUsage.whole());
     }
 
     private void end(FoxtailridgeException failure) {
         if (!mEnded) {
+            if (failure.answer().status() >= LOWEST_FAILURE_STATUS) {
+                mServices.objectives().record(mTimes.broken(mCaller.clientAccount()));
+            }
             close();
             mSink.fail(failure);
         }
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionServices.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionServices.java
@@ -7,6 +7,7 @@
 import org.foxtailridge.node.duty.DemandCounter;
 import org.foxtailridge.node.duty.DutyTimer;
 import org.foxtailridge.node.duty.LimitsDuty;
+import org.foxtailridge.node.duty.ObjectivesDuty;
 import org.foxtailridge.node.duty.PlacementDuty;
 import org.foxtailridge.node.duty.QuarantineDuty;
 import org.foxtailridge.node.duty.ReportsDuty;
@@ -24,6 +25,7 @@
     private final ReportsDuty mReports;
     private final DemandCounter mDemand;
     private final PlacementDuty mPlacement;
+    private final ObjectivesDuty mObjectives;
     private final EngineClient mEngines;
     private final RunningRequests mRunning;
     private final AttemptIdentifiers mIdentifiers;
@@ -40,6 +42,7 @@
             ReportsDuty reports,
             DemandCounter demand,
             PlacementDuty placement,
+            ObjectivesDuty objectives,
             EngineClient engines,
             RunningRequests running,
             AttemptIdentifiers identifiers,
@@ -53,6 +56,7 @@
         mReports = reports;
         mDemand = demand;
         mPlacement = placement;
+        mObjectives = objectives;
         mEngines = engines;
         mRunning = running;
         mIdentifiers = identifiers;
@@ -89,6 +93,10 @@
         return mReports;
     }
 
+    ObjectivesDuty objectives() {
+        return mObjectives;
+    }
+
     EngineClient engines() {
         return mEngines;
     }
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceRun.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceRun.java
@@ -44,6 +44,7 @@
     private static final Duration PATIENCE = Duration.ofSeconds(10);
     private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
     private static final String OPEN_ACCOUNT = "open-route";
+    private static final int LOWEST_FAILURE_STATUS = 500;
     private static final String[] FORWARDED_HEADERS = {
         "Content-Type", "Accept", "Accept-Language", IDEMPOTENCY_KEY
     };
@@ -298,6 +299,7 @@
 
     private void finish(ServiceAnswer answer) {
         if (!mEnded) {
+            record(answer.status() < LOWEST_FAILURE_STATUS);
             close(mRoute.tokens());
             mExchange.answer(answer.status(), answer.contentType(), answer.body());
         }
@@ -305,11 +307,19 @@
 
     private void fail(FoxtailridgeException failure) {
         if (!mEnded) {
+            if (failure.answer().status() >= LOWEST_FAILURE_STATUS) {
+                record(false);
+            }
             close(failure.answer().ran() == Ran.NO ? 0 : mRoute.tokens());
             mExchange.fail(failure);
         }
     }
 
+    private void record(boolean whole) {
+        String account = mCaller.map(Caller::clientAccount).orElse(OPEN_ACCOUNT);
+        mServices.objectives().record(whole ? mTimes.wholeAtOnce(account) : mTimes.broken(account));
+    }
+
     private void close(long usedTokens) {
         mEnded = true;
         boolean awaitsAnswer = mAttempt != null;
--- a/node/src/main/java/org/foxtailridge/node/operator/OperatorHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/operator/OperatorHandler.java
@@ -13,9 +13,13 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.foxtailridge.core.json.Json;
+import org.foxtailridge.node.duty.ObjectivesDuty;
 import org.foxtailridge.node.settings.NodeSettings;
 
-/** Serves {@code /healthz}, {@code /readyz}, {@code /metrics}, {@code /status}, {@code /faults}. */
+/**
+ * Serves {@code /healthz}, {@code /readyz}, {@code /metrics}, {@code /status}, {@code /burn} and
+ * {@code /faults}.
+ */
 @Singleton
 final class OperatorHandler extends Handler.Abstract {
     private static final int OK = 200;
@@ -25,22 +29,26 @@
     private static final String TEXT = "text/plain; charset=utf-8";
     private static final String PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8";
     private static final String JSON = "application/json";
+    private static final String PROTOBUF = "application/x-protobuf";
 
     private final NodeSettings mSettings;
     private final StatusReport mStatus;
     private final PrometheusMeterRegistry mMetrics;
     private final FaultSwitches mFaults;
+    private final ObjectivesDuty mObjectives;
 
     @Inject
     OperatorHandler(
             NodeSettings settings,
             StatusReport status,
             PrometheusMeterRegistry metrics,
-            FaultSwitches faults) {
+            FaultSwitches faults,
+            ObjectivesDuty objectives) {
         mSettings = settings;
         mStatus = status;
         mMetrics = metrics;
         mFaults = faults;
+        mObjectives = objectives;
     }
 
     @Override
@@ -50,6 +58,7 @@
             case "/readyz" -> writeReadiness(response, callback);
             case "/metrics" -> write(response, callback, OK, PROMETHEUS, mMetrics.scrape());
             case "/status" -> write(response, callback, OK, JSON, Json.write(mStatus.read()));
+            case "/burn" -> writeBurn(response, callback);
             case "/faults" -> setFaults(request, response, callback);
             default -> write(response, callback, NOT_FOUND, TEXT, "not found\n");
         }
@@ -66,6 +75,19 @@
                 ready ? "ready\n" : "not ready\n");
     }
 
+    private void writeBurn(Response response, Callback callback) {
+        mObjectives
+                .counts()
+                .whenComplete(
+                        (counts, failure) -> {
+                            if (failure == null) {
+                                write(response, callback, OK, PROTOBUF, counts.toByteArray());
+                            } else {
+                                write(response, callback, UNAVAILABLE, TEXT, "no counts\n");
+                            }
+                        });
+    }
+
     private void setFaults(Request request, Response response, Callback callback) throws Exception {
         if (!mSettings.faultSwitches() || !request.getMethod().equals("POST")) {
             write(response, callback, NOT_FOUND, TEXT, "not found\n");
@@ -82,8 +104,13 @@
 
     private static void write(
             Response response, Callback callback, int status, String type, String body) {
+        write(response, callback, status, type, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void write(
+            Response response, Callback callback, int status, String type, byte[] body) {
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, type);
-        response.write(true, ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)), callback);
+        response.write(true, ByteBuffer.wrap(body), callback);
     }
 }
