--- /dev/null
+++ b/bench/src/main/java/org/foxtailridge/bench/command/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that list comparisons and run them. */
+package org.foxtailridge.bench.command;
