--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -21,6 +21,7 @@
 import org.foxtailridge.node.duty.LimitsDuty;
 import org.foxtailridge.node.duty.MembershipDuty;
 import org.foxtailridge.node.duty.NodeState;
+import org.foxtailridge.node.duty.ObjectivesDuty;
 import org.foxtailridge.node.duty.PlacementDuty;
 import org.foxtailridge.node.duty.QuarantineDuty;
 import org.foxtailridge.node.duty.ReportsDuty;
@@ -55,6 +56,7 @@
     private final RoutingDuty mRouting;
     private final ClaimsDuty mClaims;
     private final PlacementDuty mPlacement;
+    private final ObjectivesDuty mObjectives;
     private final RunningRequests mRunning;
     private final NodeState mState;
     private final StatusReport mStatus;
@@ -77,6 +79,7 @@
             PlacementDuty placement,
             MembershipDuty membership,
             LeasesDuty leases,
+            ObjectivesDuty objectives,
             RunningRequests running,
             NodeState state,
             StatusReport status,
@@ -93,6 +96,7 @@
         mRouting = routing;
         mClaims = claims;
         mPlacement = placement;
+        mObjectives = objectives;
         mRunning = running;
         mState = state;
         mStatus = status;
@@ -106,7 +110,8 @@
                         claims,
                         leases,
                         membership,
-                        limits);
+                        limits,
+                        objectives);
         mClients = List.of(controlClient, endpointClient);
     }
 
@@ -149,6 +154,7 @@
         waitFor("leases to be released", within(leasesReleased));
         waitFor("home nodes to be taken over", within(homesReleased));
         pause(HANDOVER_TICKS);
+        mObjectives.handOver().join();
         mCallers.stop();
         mTimer.close();
         mDuties.forEach(Node::closeQuietly);
