Read streams of the log by one class; take recorded losses into the quarantine

Cause: the read-through found the same read loop in the claims and placement duties, and that the losses which the quarantine appends to the log were never read back, so that they did not outlive the VMs. Change: LogTail reads a stream for a duty and tries again after a failure; claims, placement and quarantine use it. Conclusion: a loss recorded in the log is known to a node that starts later.

--- a/node/src/main/java/org/foxtailridge/node/Node.java
+++ b/node/src/main/java/org/foxtailridge/node/Node.java
@@ -56,6 +56,7 @@
     private final RoutingDuty mRouting;
     private final ClaimsDuty mClaims;
     private final PlacementDuty mPlacement;
+    private final QuarantineDuty mQuarantine;
     private final ObjectivesDuty mObjectives;
     private final RunningRequests mRunning;
     private final NodeState mState;
@@ -96,6 +97,7 @@
         mRouting = routing;
         mClaims = claims;
         mPlacement = placement;
+        mQuarantine = quarantine;
         mObjectives = objectives;
         mRunning = running;
         mState = state;
@@ -167,6 +169,7 @@
     private void listen() {
         mClaims.start();
         mPlacement.start();
+        mQuarantine.start();
         mOperators.start();
         mCallers.start();
         LOGGER.info(
--- a/node/src/main/java/org/foxtailridge/node/duty/ClaimsDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ClaimsDuty.java
@@ -10,8 +10,6 @@
 import java.util.function.Supplier;
 import javax.inject.Inject;
 import javax.inject.Singleton;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.name.ClientAccountName;
 import org.foxtailridge.core.thread.DutyThread;
@@ -32,12 +30,8 @@
 /** Claims non-idempotent calls in the stream {@code claims} of the log. */
 @Singleton
 public final class ClaimsDuty implements AutoCloseable {
-    private static final Logger LOGGER = LogManager.getLogger(ClaimsDuty.class);
     private static final String STREAM = "claims";
-    private static final int PAGE_RECORDS = 1000;
     private static final Duration TICK = Duration.ofMillis(10);
-    private static final Duration READ_WAIT = Duration.ofSeconds(5);
-    private static final Duration READ_RETRY = Duration.ofMillis(200);
 
     private final DutyThread mThread;
     private final ClaimKeeper mKeeper;
@@ -66,7 +60,10 @@
 
     /** Begins to read the stream. */
     public void start() {
-        mThread.offer(this::read);
+        LogTail.of(STREAM, mLog, mThread, mTimer)
+                .from(mKeeper::nextOffset)
+                .to(this::onPage)
+                .start();
     }
 
     /**
@@ -159,17 +156,7 @@
         return refused ? AppendResult.REFUSED : AppendResult.LOST;
     }
 
-    private void read() {
-        mLog.read(STREAM, mKeeper.nextOffset(), PAGE_RECORDS, READ_WAIT)
-                .whenComplete((page, failure) -> mThread.offer(() -> onPage(page, failure)));
-    }
-
-    private void onPage(LogPage page, Throwable failure) {
-        if (failure != null) {
-            LOGGER.warn("{}", FoxtailridgeException.from(failure).getMessage());
-            mTimer.after(READ_RETRY, () -> mThread.offer(this::read));
-            return;
-        }
+    private void onPage(LogPage page) {
         List<LogRecord> records =
                 page.records().stream()
                         .map(
@@ -179,6 +166,5 @@
                         .toList();
         long next = records.isEmpty() ? page.next() : records.get(records.size() - 1).offset() + 1;
         decide(() -> mKeeper.recordsRead(records, next));
-        read();
     }
 }
--- a/node/src/main/java/org/foxtailridge/node/duty/PlacementDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/PlacementDuty.java
@@ -9,7 +9,6 @@
 import javax.inject.Singleton;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.name.EndpointName;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.core.thread.DutyThread;
@@ -36,9 +35,6 @@
 public final class PlacementDuty implements AutoCloseable {
     private static final Logger LOGGER = LogManager.getLogger(PlacementDuty.class);
     private static final String STREAM = "orders";
-    private static final int PAGE_RECORDS = 1000;
-    private static final Duration READ_WAIT = Duration.ofSeconds(5);
-    private static final Duration READ_RETRY = Duration.ofMillis(200);
     private static final Duration TICK = Duration.ofMillis(100);
     private static final Duration DEMAND_INTERVAL = Duration.ofSeconds(1);
 
@@ -88,7 +84,7 @@
 
     /** Begins to read the stream. */
     public void start() {
-        mThread.offer(this::read);
+        LogTail.of(STREAM, mLog, mThread, mTimer).from(() -> mNextOffset).to(this::onPage).start();
     }
 
     /** Asks for an adapter that a request misses on an endpoint. */
@@ -109,22 +105,11 @@
         mThread.close();
     }
 
-    private void read() {
-        mLog.read(STREAM, mNextOffset, PAGE_RECORDS, READ_WAIT)
-                .whenComplete((page, failure) -> mThread.offer(() -> onPage(page, failure)));
-    }
-
-    private void onPage(LogPage page, Throwable failure) {
-        if (failure != null) {
-            LOGGER.warn("{}", FoxtailridgeException.from(failure).getMessage());
-            mTimer.after(READ_RETRY, () -> mThread.offer(this::read));
-            return;
-        }
+    private void onPage(LogPage page) {
         for (LogRecord record : page.records()) {
             mPlacement.record(OrderRecordCodec.decode(record.payload()), record.timeMs());
             mNextOffset = record.offset() + 1;
         }
-        read();
     }
 
     /** An empty report says that the endpoint doesn't answer. */
--- a/node/src/main/java/org/foxtailridge/node/duty/QuarantineDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/QuarantineDuty.java
@@ -25,6 +25,8 @@
 import org.foxtailridge.node.peer.PeerIdentity;
 import org.foxtailridge.node.peer.PeerNetwork;
 import org.foxtailridge.node.settings.NodeSettings;
+import org.foxtailridge.platform.log.LogPage;
+import org.foxtailridge.platform.log.LogRecord;
 import org.foxtailridge.platform.log.LogService;
 import org.foxtailridge.protocol.envelope.Subject;
 import org.foxtailridge.protocol.quarantine.QuarantineMessage;
@@ -44,6 +46,7 @@
     private final String mNode;
     private final Map<String, CompletableFuture<Boolean>> mAsked = new HashMap<>();
     private List<String> mNodes;
+    private long mNextOffset;
 
     /** Creates the duty and starts its thread. */
     @Inject
@@ -124,11 +127,23 @@
         mTimer.offerSurely(mThread, () -> mQuarantine.endpointLost(endpoint));
     }
 
+    /** Begins to read the losses that the log holds, which outlive VMs. */
+    public void start() {
+        LogTail.of(STREAM, mLog, mThread, mTimer).from(() -> mNextOffset).to(this::onPage).start();
+    }
+
     @Override
     public void close() {
         mThread.close();
     }
 
+    private void onPage(LogPage page) {
+        for (LogRecord record : page.records()) {
+            mQuarantine.recorded(QuarantineRecord.parse(record.payload()));
+            mNextOffset = record.offset() + 1;
+        }
+    }
+
     private void changeNodes(List<NodeName> nodes) {
         mNodes = nodes.stream().map(NodeName::value).sorted().toList();
         mQuarantine.nodesChanged(mNodes);
