Remove code of the caller front that nothing calls

Cause: a failure factory and a sink method were left over when the completion run was rewritten. Change: both are gone; behaviour is unchanged. Measured: node and what it depends on compile, format and lint clean; no test was run.

--- a/node/src/main/java/org/foxtailridge/node/caller/AnswerSink.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/AnswerSink.java
@@ -15,7 +15,4 @@
 
     /** Ends an answer that can't be whole. */
     void fail(FoxtailridgeException failure);
-
-    /** Returns whether any part of the answer may have reached the caller. */
-    boolean hasBegun();
 }
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionFailedException.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionFailedException.java
@@ -9,12 +9,6 @@
         super(kind, message);
     }
 
-    static CompletionFailedException beforeFirstToken(String endpoint, String reason) {
-        return new CompletionFailedException(
-                ErrorKind.ENDPOINT_FAILED,
-                "expected an answer from endpoint " + endpoint + " but was " + reason);
-    }
-
     /** Returns the failure of a kind after a number of tokens. */
     static CompletionFailedException of(ErrorKind kind, int tokens) {
         return new CompletionFailedException(
--- a/node/src/main/java/org/foxtailridge/node/caller/StreamedAnswerSink.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/StreamedAnswerSink.java
@@ -52,11 +52,6 @@
         }
     }
 
-    @Override
-    public boolean hasBegun() {
-        return mBegun;
-    }
-
     private static byte[] join(byte[]... parts) {
         ByteArrayOutputStream joined = new ByteArrayOutputStream();
         for (byte[] part : parts) {
--- a/node/src/main/java/org/foxtailridge/node/caller/WholeAnswerSink.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/WholeAnswerSink.java
@@ -38,9 +38,4 @@
     public void fail(FoxtailridgeException failure) {
         mExchange.fail(failure);
     }
-
-    @Override
-    public boolean hasBegun() {
-        return false;
-    }
 }
