--- a/cli/src/main/java/org/foxtailridge/cli/configuration/EditPublisher.java
+++ b/cli/src/main/java/org/foxtailridge/cli/configuration/EditPublisher.java
@@ -5,14 +5,14 @@
 import java.util.List;
 import java.util.Objects;
 import org.foxtailridge.cli.terminal.Terminal;
+import org.foxtailridge.clients.log.AppendRefusedException;
+import org.foxtailridge.clients.log.LogService;
+import org.foxtailridge.clients.log.LogUnavailableException;
 import org.foxtailridge.configuration.publish.EditPublication;
 import org.foxtailridge.configuration.publish.PublicationStep;
 import org.foxtailridge.configuration.record.Edit;
 import org.foxtailridge.configuration.record.EditOutcome;
 import org.foxtailridge.core.error.FoxtailridgeException;
-import org.foxtailridge.platform.log.AppendRefusedException;
-import org.foxtailridge.platform.log.LogService;
-import org.foxtailridge.platform.log.LogUnavailableException;
 
 /**
  * Publishes edits and reads back what became of them.
--- a/cli/src/main/java/org/foxtailridge/cli/configuration/PublishCommand.java
+++ b/cli/src/main/java/org/foxtailridge/cli/configuration/PublishCommand.java
@@ -11,12 +11,12 @@
 import org.foxtailridge.cli.terminal.ExitCode;
 import org.foxtailridge.cli.terminal.OperatorCommand;
 import org.foxtailridge.cli.terminal.Terminal;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.configuration.fold.ConfigurationState;
 import org.foxtailridge.configuration.list.ListDifference;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.configuration.record.Edit;
 import org.foxtailridge.configuration.record.EditOutcome;
-import org.foxtailridge.platform.log.LogService;
 
 /** Publishes the difference between a list file and what is in force, as one edit. */
 @Command(
--- a/cli/src/main/java/org/foxtailridge/cli/configuration/PublishedState.java
+++ b/cli/src/main/java/org/foxtailridge/cli/configuration/PublishedState.java
@@ -5,12 +5,12 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.foxtailridge.clients.log.LogPage;
+import org.foxtailridge.clients.log.LogRecord;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.configuration.fold.ConfigurationFold;
 import org.foxtailridge.configuration.fold.ConfigurationState;
 import org.foxtailridge.core.error.FoxtailridgeException;
-import org.foxtailridge.platform.log.LogPage;
-import org.foxtailridge.platform.log.LogRecord;
-import org.foxtailridge.platform.log.LogService;
 
 /** Reads the state that the stream {@code configuration} leads to, as every node folds it. */
 public final class PublishedState {
@@ -29,7 +29,7 @@
     /**
      * Returns the state at the end of the log.
      *
-     * @throws org.foxtailridge.platform.log.LogUnavailableException when the log does not answer
+     * @throws org.foxtailridge.clients.log.LogUnavailableException when the log does not answer
      * @throws SnapshotMissingException when records are gone and no snapshot stands for them
      */
     public ConfigurationState read() {
--- a/cli/src/main/java/org/foxtailridge/cli/key/WithdrawCommand.java
+++ b/cli/src/main/java/org/foxtailridge/cli/key/WithdrawCommand.java
@@ -16,6 +16,7 @@
 import org.foxtailridge.cli.terminal.ExitCode;
 import org.foxtailridge.cli.terminal.OperatorCommand;
 import org.foxtailridge.cli.terminal.Terminal;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.configuration.fold.ConfigurationState;
 import org.foxtailridge.configuration.key.KeyHashing;
 import org.foxtailridge.configuration.model.EntryKey;
@@ -23,7 +24,6 @@
 import org.foxtailridge.configuration.record.Change;
 import org.foxtailridge.configuration.record.Edit;
 import org.foxtailridge.configuration.record.EditOutcome;
-import org.foxtailridge.platform.log.LogService;
 
 /** Withdraws a key. */
 @Command(
--- a/cli/src/main/java/org/foxtailridge/cli/load/LoadClient.java
+++ b/cli/src/main/java/org/foxtailridge/cli/load/LoadClient.java
@@ -13,8 +13,8 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpMethod;
+import org.foxtailridge.clients.http.HttpClients;
 import org.foxtailridge.core.json.Json;
-import org.foxtailridge.platform.http.HttpClients;
 
 /** Sends the requests of a load. */
 final class LoadClient implements AutoCloseable {
--- a/cli/src/main/java/org/foxtailridge/cli/node/BurnCollector.java
+++ b/cli/src/main/java/org/foxtailridge/cli/node/BurnCollector.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.foxtailridge.cli.platform.Connection;
 import org.foxtailridge.cli.platform.NodeAddress;
+import org.foxtailridge.clients.http.JsonAnswer;
 import org.foxtailridge.objectives.report.BurnReport;
-import org.foxtailridge.platform.http.JsonAnswer;
 import org.foxtailridge.protocol.objectives.BurnCounts;
 
 /** Asks nodes for what they have counted, a bounded number of them at once. */
--- a/cli/src/main/java/org/foxtailridge/cli/node/NodeStatuses.java
+++ b/cli/src/main/java/org/foxtailridge/cli/node/NodeStatuses.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.foxtailridge.cli.platform.Connection;
 import org.foxtailridge.cli.platform.NodeAddress;
-import org.foxtailridge.platform.http.JsonAnswer;
+import org.foxtailridge.clients.http.JsonAnswer;
 
 /** Asks nodes for their status, all at once. */
 public final class NodeStatuses {
--- a/cli/src/main/java/org/foxtailridge/cli/platform/Connection.java
+++ b/cli/src/main/java/org/foxtailridge/cli/platform/Connection.java
@@ -5,13 +5,13 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.HttpClient;
-import org.foxtailridge.platform.http.HttpClients;
-import org.foxtailridge.platform.http.JsonAnswer;
-import org.foxtailridge.platform.http.JsonExchange;
-import org.foxtailridge.platform.log.HttpLogService;
-import org.foxtailridge.platform.log.LogService;
-import org.foxtailridge.platform.vm.HttpVmList;
-import org.foxtailridge.platform.vm.VmList;
+import org.foxtailridge.clients.http.HttpClients;
+import org.foxtailridge.clients.http.JsonAnswer;
+import org.foxtailridge.clients.http.JsonExchange;
+import org.foxtailridge.clients.log.HttpLogService;
+import org.foxtailridge.clients.log.LogService;
+import org.foxtailridge.clients.vm.HttpVmList;
+import org.foxtailridge.clients.vm.VmList;
 
 /** The HTTP client of one command. */
 public final class Connection implements AutoCloseable {
--- a/cli/src/main/java/org/foxtailridge/cli/platform/NodeOptions.java
+++ b/cli/src/main/java/org/foxtailridge/cli/platform/NodeOptions.java
@@ -3,7 +3,7 @@
 import com.github.rvesse.airline.annotations.Option;
 import java.util.ArrayList;
 import java.util.List;
-import org.foxtailridge.platform.vm.Vm;
+import org.foxtailridge.clients.vm.Vm;
 
 /** Options by which a command finds the nodes. */
 public final class NodeOptions {
--- a/cli/src/main/java/org/foxtailridge/cli/quickstart/LocalSystem.java
+++ b/cli/src/main/java/org/foxtailridge/cli/quickstart/LocalSystem.java
@@ -12,6 +12,7 @@
 import org.foxtailridge.cli.platform.Connection;
 import org.foxtailridge.cli.quickstart.ReadySystem.AccountKey;
 import org.foxtailridge.cli.terminal.Terminal;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.configuration.key.GivenKey;
 import org.foxtailridge.configuration.key.KeyGenerator;
 import org.foxtailridge.configuration.list.ListDifference;
@@ -21,7 +22,6 @@
 import org.foxtailridge.configuration.record.Edit;
 import org.foxtailridge.node.Node;
 import org.foxtailridge.node.settings.NodeSettings;
-import org.foxtailridge.platform.log.LogService;
 import org.foxtailridge.standins.vms.VmEntry;
 
 /** Nodes and stand-ins in this process. */
--- a/cli/src/main/java/org/foxtailridge/cli/quickstart/ProbeClient.java
+++ b/cli/src/main/java/org/foxtailridge/cli/quickstart/ProbeClient.java
@@ -9,8 +9,8 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpMethod;
+import org.foxtailridge.clients.http.HttpClients;
 import org.foxtailridge.core.json.Json;
-import org.foxtailridge.platform.http.HttpClients;
 
 /** Asks a node for one token, to see whether it serves. */
 final class ProbeClient implements AutoCloseable {
--- a/cli/src/test/java/org/foxtailridge/cli/RacingLog.java
+++ b/cli/src/test/java/org/foxtailridge/cli/RacingLog.java
@@ -6,13 +6,13 @@
 import org.foxtailridge.cli.configuration.EditPublisher;
 import org.foxtailridge.cli.configuration.PublishedState;
 import org.foxtailridge.cli.platform.Connection;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.configuration.fold.ConfigurationState;
 import org.foxtailridge.configuration.model.EntryKey;
 import org.foxtailridge.configuration.model.EntryKind;
 import org.foxtailridge.configuration.record.Change;
 import org.foxtailridge.configuration.record.Edit;
 import org.foxtailridge.core.error.FoxtailridgeException;
-import org.foxtailridge.platform.log.LogService;
 
 /** Two operators who withdraw the same key after both have read the same state. */
 final class RacingLog {
--- a/platform/src/main/java/org/foxtailridge/platform/engine/CompletionCall.java
+++ b/clients/src/main/java/org/foxtailridge/clients/engine/CompletionCall.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.engine;
+package org.foxtailridge.clients.engine;
 
 import java.util.List;
 
--- a/platform/src/main/java/org/foxtailridge/platform/engine/CompletionToken.java
+++ b/clients/src/main/java/org/foxtailridge/clients/engine/CompletionToken.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.engine;
+package org.foxtailridge.clients.engine;
 
 /**
  * One token of a stream.
--- a/platform/src/main/java/org/foxtailridge/platform/engine/EngineClient.java
+++ b/clients/src/main/java/org/foxtailridge/clients/engine/EngineClient.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.engine;
+package org.foxtailridge.clients.engine;
 
 import java.time.Duration;
 import java.util.Objects;
@@ -8,9 +8,9 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpMethod;
+import org.foxtailridge.clients.http.JsonAnswer;
+import org.foxtailridge.clients.http.JsonExchange;
 import org.foxtailridge.core.json.Json;
-import org.foxtailridge.platform.http.JsonAnswer;
-import org.foxtailridge.platform.http.JsonExchange;
 
 /**
  * Client of all model engines.
--- a/platform/src/main/java/org/foxtailridge/platform/engine/EngineRefusal.java
+++ b/clients/src/main/java/org/foxtailridge/clients/engine/EngineRefusal.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.engine;
+package org.foxtailridge.clients.engine;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.UncheckedIOException;
--- a/platform/src/main/java/org/foxtailridge/platform/engine/HttpCompletionStream.java
+++ b/clients/src/main/java/org/foxtailridge/clients/engine/HttpCompletionStream.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.engine;
+package org.foxtailridge.clients.engine;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectReader;
--- a/platform/src/main/java/org/foxtailridge/platform/engine/OrderAnswer.java
+++ b/clients/src/main/java/org/foxtailridge/clients/engine/OrderAnswer.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.engine;
+package org.foxtailridge.clients.engine;
 
 /**
  * Answer of an engine to an order.
--- /dev/null
+++ b/clients/src/main/java/org/foxtailridge/clients/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Client of model engines. */
+package org.foxtailridge.clients.engine;
--- a/platform/src/main/java/org/foxtailridge/platform/http/HttpClients.java
+++ b/clients/src/main/java/org/foxtailridge/clients/http/HttpClients.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.http;
+package org.foxtailridge.clients.http;
 
 import java.time.Duration;
 import org.eclipse.jetty.client.HttpClient;
--- a/platform/src/main/java/org/foxtailridge/platform/http/JsonAnswer.java
+++ b/clients/src/main/java/org/foxtailridge/clients/http/JsonAnswer.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.http;
+package org.foxtailridge.clients.http;
 
 import org.foxtailridge.core.json.Json;
 
--- a/platform/src/main/java/org/foxtailridge/platform/http/package-info.java
+++ b/clients/src/main/java/org/foxtailridge/clients/http/package-info.java
@@ -1,2 +1,2 @@
 /** HTTP plumbing shared by the clients of outside systems. */
-package org.foxtailridge.platform.http;
+package org.foxtailridge.clients.http;
--- a/platform/src/main/java/org/foxtailridge/platform/log/AppendUnresolvedException.java
+++ b/clients/src/main/java/org/foxtailridge/clients/log/AppendUnresolvedException.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.log;
+package org.foxtailridge.clients.log;
 
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.error.FoxtailridgeException;
--- a/platform/src/main/java/org/foxtailridge/platform/log/HttpLogService.java
+++ b/clients/src/main/java/org/foxtailridge/clients/log/HttpLogService.java
@@ -1,14 +1,14 @@
-package org.foxtailridge.platform.log;
+package org.foxtailridge.clients.log;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.HttpClient;
+import org.foxtailridge.clients.http.ExchangeFailedException;
+import org.foxtailridge.clients.http.JsonAnswer;
+import org.foxtailridge.clients.http.JsonExchange;
 import org.foxtailridge.core.error.FoxtailridgeException;
-import org.foxtailridge.platform.http.ExchangeFailedException;
-import org.foxtailridge.platform.http.JsonAnswer;
-import org.foxtailridge.platform.http.JsonExchange;
 
 /** The log service over HTTP. */
 public final class HttpLogService implements LogService {
--- a/platform/src/main/java/org/foxtailridge/platform/log/package-info.java
+++ b/clients/src/main/java/org/foxtailridge/clients/log/package-info.java
@@ -1,2 +1,2 @@
 /** Client of the append-only log service. */
-package org.foxtailridge.platform.log;
+package org.foxtailridge.clients.log;
--- a/platform/src/main/java/org/foxtailridge/platform/service/ServiceAnswer.java
+++ b/clients/src/main/java/org/foxtailridge/clients/service/ServiceAnswer.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.service;
+package org.foxtailridge.clients.service;
 
 /**
  * Answer of a plain service.
--- a/platform/src/main/java/org/foxtailridge/platform/service/ServiceClient.java
+++ b/clients/src/main/java/org/foxtailridge/clients/service/ServiceClient.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.service;
+package org.foxtailridge.clients.service;
 
 import java.time.Duration;
 import java.util.Objects;
@@ -11,8 +11,8 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpHeader;
-import org.foxtailridge.platform.engine.AttemptIdentity;
-import org.foxtailridge.platform.http.ExchangeFailedException;
+import org.foxtailridge.clients.engine.AttemptIdentity;
+import org.foxtailridge.clients.http.ExchangeFailedException;
 
 /** Client of all plain services. Answers are held whole, up to a bound. */
 public final class ServiceClient {
--- /dev/null
+++ b/clients/src/main/java/org/foxtailridge/clients/service/package-info.java
@@ -0,0 +1,2 @@
+/** Client of plain services. */
+package org.foxtailridge.clients.service;
--- a/platform/src/main/java/org/foxtailridge/platform/vm/HttpVmList.java
+++ b/clients/src/main/java/org/foxtailridge/clients/vm/HttpVmList.java
@@ -1,12 +1,12 @@
-package org.foxtailridge.platform.vm;
+package org.foxtailridge.clients.vm;
 
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.HttpClient;
+import org.foxtailridge.clients.http.JsonAnswer;
+import org.foxtailridge.clients.http.JsonExchange;
 import org.foxtailridge.core.error.FoxtailridgeException;
-import org.foxtailridge.platform.http.JsonAnswer;
-import org.foxtailridge.platform.http.JsonExchange;
 
 /** The list of VMs over HTTP. */
 public final class HttpVmList implements VmList {
--- a/platform/src/main/java/org/foxtailridge/platform/vm/Vm.java
+++ b/clients/src/main/java/org/foxtailridge/clients/vm/Vm.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.vm;
+package org.foxtailridge.clients.vm;
 
 /**
  * An entry VM as the platform lists it.
--- a/platform/src/main/java/org/foxtailridge/platform/vm/VmListUnavailableException.java
+++ b/clients/src/main/java/org/foxtailridge/clients/vm/VmListUnavailableException.java
@@ -1,4 +1,4 @@
-package org.foxtailridge.platform.vm;
+package org.foxtailridge.clients.vm;
 
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.error.FoxtailridgeException;
--- /dev/null
+++ b/clients/src/main/java/org/foxtailridge/clients/vm/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the list of VMs. */
+package org.foxtailridge.clients.vm;
--- /dev/null
+++ b/core/src/main/java/org/foxtailridge/core/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured lines of the log. */
+package org.foxtailridge.core.log;
--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/Operator.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/Operator.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.UUID;
 import org.eclipse.jetty.client.HttpClient;
+import org.foxtailridge.clients.http.HttpClients;
+import org.foxtailridge.clients.log.HttpLogService;
+import org.foxtailridge.clients.log.LogRecord;
 import org.foxtailridge.configuration.fold.ConfigurationFold;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.configuration.model.ConfigurationEntry;
@@ -14,9 +17,6 @@
 import org.foxtailridge.configuration.record.Edit;
 import org.foxtailridge.configuration.record.EditOutcome;
 import org.foxtailridge.configuration.record.RecordCodec;
-import org.foxtailridge.platform.http.HttpClients;
-import org.foxtailridge.platform.log.HttpLogService;
-import org.foxtailridge.platform.log.LogRecord;
 
 /** Publishes edits to the log as the command line does. */
 public final class Operator implements AutoCloseable {
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -0,0 +1,300 @@
+package org.foxtailridge.forwarding.front;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.foxtailridge.core.error.ErrorAnswer;
+import org.foxtailridge.core.error.ErrorKind;
+import org.foxtailridge.core.error.ErrorTable;
+import org.foxtailridge.core.name.ClientAccountName;
+import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.forwarding.configuration.CallerLimits;
+import org.foxtailridge.forwarding.configuration.ForwardingConfiguration;
+import org.foxtailridge.forwarding.configuration.ForwardingService;
+import org.foxtailridge.forwarding.http.CallerExchange;
+import org.foxtailridge.forwarding.http.CallerHandler;
+import org.foxtailridge.forwarding.http.FailureBody;
+import org.foxtailridge.forwarding.http.MalformedHeadException;
+import org.foxtailridge.forwarding.request.RequestFacts;
+import org.foxtailridge.forwarding.request.RequestTerms;
+import org.foxtailridge.limits.Admission;
+import org.foxtailridge.routing.Attempt;
+import org.foxtailridge.routing.AttemptEnd;
+import org.foxtailridge.routing.RouteRequest;
+import org.foxtailridge.routing.RoutingDecision;
+import org.foxtailridge.routing.queue.RequestScheduler;
+import org.foxtailridge.routing.queue.SchedulerOutbox;
+
+/**
+ * Takes requests of callers and sees each through to its end.
+ *
+ * <p>Confined to one event loop.
+ *
+ * <pre>{@code
+ * Forwarder forwarder = new Forwarder(parts, roster, () -> configurationInForce);
+ * forwarder.use(RequestScheduler.builder(clock, router, forwarder).build());
+ * new CallerServer(loop, forwarder, clock).listen(address);
+ * }</pre>
+ */
+public final class Forwarder implements CallerHandler, SchedulerOutbox {
+    private static final Logger LOGGER = LogManager.getLogger(Forwarder.class);
+    private static final long MILLISECONDS_PER_SECOND = 1_000;
+    // A place is free again, or tokens are there again, within a fraction of a second mostly.
+    private static final long SHORT_RETRY_MILLISECONDS = 300;
+    // Part of its time that a request needs to be answered once it was sent.
+    private static final int RUN_SHARE = 8;
+    private static final long SECONDS_UNKNOWN = 0;
+
+    private final ForwarderParts mParts;
+    private final EndpointRoster mRoster;
+    private final Supplier<Optional<ForwardingConfiguration>> mConfiguration;
+    private final Map<String, ForwardedRequest> mRequests = new HashMap<>();
+    private final ForwardedDemand mDemand;
+    private RequestScheduler mScheduler;
+    private long mNextRun;
+    private boolean mStopping;
+
+    /**
+     * Creates a forwarder without a queue.
+     *
+     * @param parts what it works with
+     * @param roster where endpoints are
+     * @param configuration the configuration in force; empty while none is known
+     */
+    public Forwarder(
+            ForwarderParts parts,
+            EndpointRoster roster,
+            Supplier<Optional<ForwardingConfiguration>> configuration) {
+        mParts = Objects.requireNonNull(parts, "parts");
+        mRoster = Objects.requireNonNull(roster, "roster");
+        mConfiguration = Objects.requireNonNull(configuration, "configuration");
+        mDemand = new ForwardedDemand(parts.clock());
+    }
+
+    /** Sets the queue; before the first request. */
+    public void use(RequestScheduler scheduler) {
+        mScheduler = Objects.requireNonNull(scheduler, "scheduler");
+    }
+
+    /** Returns what requests ask for. */
+    public ForwardedDemand demand() {
+        return mDemand;
+    }
+
+    /** Begins a planned stop: answers close their connections. */
+    public void stop() {
+        mStopping = true;
+    }
+
+    /** Returns the number of requests under way. */
+    public int underWay() {
+        return mRequests.size();
+    }
+
+    /** Ends the requests whose keys a new configuration does not hold any more. */
+    public void configurationChanged(ForwardingConfiguration configuration) {
+        for (ForwardedRequest request : List.copyOf(mRequests.values())) {
+            RequestTerms terms = request.terms();
+            boolean keyed = terms.account().isPresent();
+            boolean held = terms.facts().key().flatMap(configuration::accountOfKey).isPresent();
+            if (keyed && !held) {
+                request.life().keyWithdrawn();
+            }
+        }
+    }
+
+    @Override
+    public void handle(CallerExchange exchange) {
+        RequestFacts facts;
+        try {
+            facts = mParts.dialect().readRequest(exchange.head());
+        } catch (MalformedHeadException malformed) {
+            refusedUnread(exchange, malformed);
+            return;
+        }
+        Optional<ForwardingConfiguration> configuration = mConfiguration.get();
+        if (configuration.isEmpty()) {
+            refuse(exchange, facts, ErrorKind.NOT_READY, "no configuration is known yet");
+            return;
+        }
+        TermsDecision decision =
+                new TermsRule(configuration.get(), mParts.random())
+                        .decide(facts, exchange, "r" + mNextRun++);
+        if (decision.terms().isEmpty()) {
+            refuse(exchange, facts, decision.refusal(), decision.reason());
+            return;
+        }
+        RequestTerms terms = decision.terms().get();
+        mParts.retries().requested(terms.service());
+        ForwardedRequest request = new ForwardedRequest(this, mParts, exchange, terms);
+        mRequests.put(terms.runId(), request);
+        mDemand.arrived(terms);
+        request.start();
+    }
+
+    @Override
+    public CallerLimits limits() {
+        return mConfiguration
+                .get()
+                .map(ForwardingConfiguration::callerLimits)
+                .orElse(CallerLimits.DEFAULTS);
+    }
+
+    @Override
+    public boolean isStopping() {
+        return mStopping;
+    }
+
+    @Override
+    public void refused(ErrorKind kind, String reason) {
+        mParts.log().refusedUnread(kind, reason);
+    }
+
+    @Override
+    public void dispatch(Attempt attempt, RoutingDecision.Dispatch decision) {
+        mParts.loop().execute(() -> dispatchNow(attempt, decision));
+    }
+
+    @Override
+    public void refuse(RouteRequest request, ErrorKind kind, int retryAfterSeconds) {
+        mParts.loop()
+                .execute(
+                        () -> {
+                            ForwardedRequest waiting = mRequests.get(request.requestId());
+                            if (waiting != null) {
+                                waiting.life().refused(kind, SECONDS_UNKNOWN);
+                            }
+                        });
+    }
+
+    @Override
+    public void preempt(Attempt attempt) {
+        // Engines preempt by rank themselves; the queue is set up to cancel nothing.
+        LOGGER.warn("the queue asked to cancel attempt {}; it goes on", attempt.attemptId());
+    }
+
+    EndpointRoster roster() {
+        return mRoster;
+    }
+
+    void reserve(ForwardedRequest request) {
+        RequestTerms terms = request.terms();
+        mParts.limiter()
+                .reserve(
+                        ClientAccountName.of(terms.accountName()),
+                        terms.countedTokens(),
+                        admission -> mParts.loop().execute(() -> admit(request, admission)));
+    }
+
+    void submit(ForwardedRequest request, Set<EndpointName> excluded, boolean begun) {
+        RequestTerms terms = request.terms();
+        Optional<ForwardingService> service =
+                mConfiguration.get().flatMap(known -> known.service(terms.service()));
+        if (service.isEmpty()) {
+            mParts.loop()
+                    .execute(() -> request.life().refused(ErrorKind.NO_ENDPOINT, SECONDS_UNKNOWN));
+            return;
+        }
+        RequestFacts facts = terms.facts();
+        long time = terms.endsMilliseconds() - terms.arrivedMilliseconds();
+        Instant startBy = Instant.ofEpochMilli(terms.endsMilliseconds() - time / RUN_SHARE);
+        int output = facts.maximumOutputTokens().orElse(0);
+        mScheduler.submit(
+                RouteRequest.builder(terms.runId(), RequestTargets.targetOf(service.get(), facts))
+                        .clientAccount(terms.accountName())
+                        .promptTokens(facts.promptTokens().orElse(0))
+                        .maximumTokens(
+                                Math.min(output, facts.expectedOutputTokens().orElse(output)))
+                        .prefixes(RequestTargets.prefixesOf(facts))
+                        .deadline(startBy)
+                        .excluded(excluded)
+                        .begun(begun)
+                        .build());
+    }
+
+    void withdraw(String runId) {
+        mScheduler.cancel(runId);
+    }
+
+    void attemptEnded(Attempt attempt, AttemptEnd end, int events) {
+        mScheduler.attemptEnded(attempt.attemptId(), end, events);
+    }
+
+    void firstTokenArrived(Attempt attempt) {
+        mScheduler.firstTokenArrived(attempt.attemptId());
+    }
+
+    void ended(ForwardedRequest request) {
+        mRequests.remove(request.terms().runId());
+        mDemand.ended(request.terms());
+    }
+
+    /** Answers with a failure of this node. */
+    void answer(CallerExchange exchange, RequestFacts facts, ErrorKind kind, long retryAfterMs) {
+        ErrorAnswer answer = ErrorTable.answerTo(kind);
+        byte[] body = FailureBody.of(kind, "request " + facts.requestId());
+        OptionalLong retryAfter =
+                answer.retryAfterSeconds().isEmpty()
+                        ? OptionalLong.empty()
+                        : OptionalLong.of(
+                                retryAfterMs > 0 ? retryAfterMs : SHORT_RETRY_MILLISECONDS);
+        exchange.begin(
+                answer.status(),
+                HttpResponseStatus.valueOf(answer.status()).reasonPhrase(),
+                ForwardedRequest.failureHeaders(retryAfter),
+                OptionalLong.of(body.length));
+        exchange.write(Unpooled.wrappedBuffer(body));
+        exchange.end();
+    }
+
+    private void refuse(
+            CallerExchange exchange, RequestFacts facts, ErrorKind kind, String reason) {
+        mParts.log().refused(facts, kind, reason);
+        answer(exchange, facts, kind, SECONDS_UNKNOWN);
+    }
+
+    private void refusedUnread(CallerExchange exchange, MalformedHeadException malformed) {
+        mParts.log().refusedUnread(malformed.kind(), malformed.getMessage());
+        byte[] body = FailureBody.of(malformed.kind(), malformed.getMessage());
+        exchange.begin(
+                malformed.answer().status(),
+                "Bad Request",
+                ForwardedRequest.failureHeaders(OptionalLong.empty()),
+                OptionalLong.of(body.length));
+        exchange.write(Unpooled.wrappedBuffer(body));
+        exchange.end();
+    }
+
+    private void admit(ForwardedRequest request, Admission admission) {
+        if (admission instanceof Admission.Granted granted) {
+            request.granted(granted.reservation());
+        } else if (admission instanceof Admission.Refused refused) {
+            request.tokensRefused(ErrorKind.RATE_EXCEEDED, refused.retryAfter().toMillis());
+        } else if (admission instanceof Admission.LargerThanBurst) {
+            request.tokensRefused(ErrorKind.RATE_EXCEEDED, MILLISECONDS_PER_SECOND);
+        } else if (admission instanceof Admission.Overloaded) {
+            request.tokensRefused(ErrorKind.OVERLOADED, SECONDS_UNKNOWN);
+        } else {
+            request.tokensRefused(ErrorKind.NOT_READY, SECONDS_UNKNOWN);
+        }
+    }
+
+    private void dispatchNow(Attempt attempt, RoutingDecision.Dispatch decision) {
+        ForwardedRequest request = mRequests.get(attempt.request().requestId());
+        if (request == null) {
+            mScheduler.attemptEnded(attempt.attemptId(), AttemptEnd.CANCELLED, 0);
+            return;
+        }
+        request.dispatched(attempt, decision);
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/TermsRule.java
@@ -0,0 +1,88 @@
+package org.foxtailridge.forwarding.front;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import io.netty.buffer.ByteBufUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.foxtailridge.core.error.ErrorKind;
+import org.foxtailridge.forwarding.configuration.EnginePool;
+import org.foxtailridge.forwarding.configuration.ForwardingAccount;
+import org.foxtailridge.forwarding.configuration.ForwardingConfiguration;
+import org.foxtailridge.forwarding.configuration.ForwardingRoute;
+import org.foxtailridge.forwarding.configuration.ForwardingService;
+import org.foxtailridge.forwarding.http.CallerExchange;
+import org.foxtailridge.forwarding.request.RequestFacts;
+import org.foxtailridge.forwarding.request.RequestTerms;
+
+/** Decides under which terms a request runs, by the configuration in force when it came. */
+final class TermsRule {
+    private final ForwardingConfiguration mConfiguration;
+    private final RandomGenerator mRandom;
+
+    TermsRule(ForwardingConfiguration configuration, RandomGenerator random) {
+        mConfiguration = configuration;
+        mRandom = random;
+    }
+
+    TermsDecision decide(RequestFacts facts, CallerExchange exchange, String runId) {
+        Optional<ForwardingRoute> found = mConfiguration.route(facts.host(), facts.target());
+        if (found.isEmpty()) {
+            return TermsDecision.refuse(ErrorKind.UNKNOWN_SERVICE, "no route matches");
+        }
+        ForwardingRoute route = found.get();
+        boolean needsKey = mConfiguration.hasAccounts() && !route.open();
+        Optional<ForwardingAccount> account =
+                needsKey ? facts.key().flatMap(mConfiguration::accountOfKey) : Optional.empty();
+        if (needsKey && account.isEmpty()) {
+            String reason = facts.key().isEmpty() ? "no key is shown" : "nobody has the key";
+            return TermsDecision.refuse(ErrorKind.KEY_REFUSED, reason);
+        }
+        String service = route.service(mRandom.nextDouble());
+        if (isUnlistedModel(service, facts)) {
+            return TermsDecision.refuse(
+                    ErrorKind.UNKNOWN_MODEL, "service " + service + " lists no such model");
+        }
+        long arrived = exchange.arrivedMilliseconds();
+        long timeout = route.timeout().toMillis();
+        long time = Math.min(timeout, facts.patienceMilliseconds().orElse(timeout));
+        return TermsDecision.accept(
+                new RequestTerms(
+                        runId,
+                        facts,
+                        route,
+                        service,
+                        account,
+                        arrived,
+                        arrived + time,
+                        account.map(known -> countedTokens(known, facts)).orElse(0L),
+                        fingerprint(facts, account, exchange)));
+    }
+
+    private boolean isUnlistedModel(String service, RequestFacts facts) {
+        Optional<EnginePool> engines =
+                mConfiguration.service(service).flatMap(ForwardingService::engines);
+        return engines.isPresent()
+                && facts.model().isPresent()
+                && engines.get().model(facts.model().get().model()).isEmpty();
+    }
+
+    private static long countedTokens(ForwardingAccount account, RequestFacts facts) {
+        if (!account.isLimited()) {
+            return 0;
+        }
+        return account.countsTokens()
+                ? Math.max(1, facts.countedTokens().orElse(account.plainTokens()))
+                : 1;
+    }
+
+    private static long fingerprint(
+            RequestFacts facts, Optional<ForwardingAccount> account, CallerExchange exchange) {
+        Hasher hasher = Hashing.farmHashFingerprint64().newHasher();
+        hasher.putString(facts.target(), StandardCharsets.UTF_8);
+        hasher.putString(account.map(ForwardingAccount::name).orElse(""), StandardCharsets.UTF_8);
+        hasher.putBytes(ByteBufUtil.getBytes(exchange.body()));
+        return hasher.hash().asLong();
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/ByteWatch.java
@@ -0,0 +1,22 @@
+package org.foxtailridge.forwarding.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.time.Clock;
+
+/** Notes when bytes of a caller arrive, before they are a request. */
+final class ByteWatch extends ChannelInboundHandlerAdapter {
+    private final CallerConnection mConnection;
+    private final Clock mClock;
+
+    ByteWatch(CallerConnection connection, Clock clock) {
+        mConnection = connection;
+        mClock = clock;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        mConnection.bytesArrived(mClock.millis());
+        context.fireChannelRead(message);
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerListener.java
@@ -0,0 +1,10 @@
+package org.foxtailridge.forwarding.http;
+
+/** Is told what a caller does while its request is answered. */
+public interface CallerListener {
+    /** The caller has closed its connection. */
+    void left();
+
+    /** Whether the caller takes more bytes has changed. */
+    void writable(boolean writable);
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
@@ -0,0 +1,118 @@
+package org.foxtailridge.forwarding.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * Listens for callers.
+ *
+ * <pre>{@code
+ * CallerServer server = new CallerServer(loop, handler, clock);
+ * server.listen(address);
+ * server.stopListening();    // a planned stop: no new connections
+ * server.closeIdle();        // connections without a request under way
+ * }</pre>
+ */
+public final class CallerServer {
+    private static final int BACKLOG = 1_024;
+    private static final int MAXIMUM_LINE_BYTES = 16_384;
+    private static final int CHUNK_BYTES = 65_536;
+    // A caller that does not read holds at most this much of its answer in memory.
+    private static final WriteBufferWaterMark WATER_MARK =
+            new WriteBufferWaterMark(64 * 1024, 256 * 1024);
+
+    private final EventLoop mLoop;
+    private final CallerHandler mHandler;
+    private final Clock mClock;
+    private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
+    private Channel mChannel;
+
+    /** Creates a server that does not listen yet. */
+    public CallerServer(EventLoop loop, CallerHandler handler, Clock clock) {
+        mLoop = Objects.requireNonNull(loop, "loop");
+        mHandler = Objects.requireNonNull(handler, "handler");
+        mClock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /** Starts to listen; fails when the address can't be had. */
+    public void listen(InetSocketAddress address) {
+        mChannel =
+                new ServerBootstrap()
+                        .group(mLoop, mLoop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        accept(channel);
+                                    }
+                                })
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    /** Returns the address on which it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) mChannel.localAddress();
+    }
+
+    /** Accepts no more connections. */
+    public void stopListening() {
+        if (mChannel != null) {
+            mChannel.close();
+        }
+    }
+
+    /** Closes the connections on which no request is under way. */
+    public void closeIdle() {
+        List.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
+    }
+
+    /** Closes connections whose callers take too long; called several times a second. */
+    public void tick() {
+        long now = mClock.millis();
+        List.copyOf(mConnections).forEach(connection -> connection.checkTimes(now));
+    }
+
+    /** Returns the number of connections. */
+    public int connections() {
+        return mConnections.size();
+    }
+
+    /** Returns the number of connections on which a request is under way. */
+    public int busyConnections() {
+        return (int) mConnections.stream().filter(CallerConnection::isBusy).count();
+    }
+
+    private void accept(SocketChannel channel) {
+        CallerConnection connection =
+                new CallerConnection(channel, mHandler, mClock, mConnections::remove);
+        mConnections.add(connection);
+        HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(
+                                Math.min(MAXIMUM_LINE_BYTES, mHandler.limits().maximumHeadBytes()))
+                        .setMaxHeaderSize(mHandler.limits().maximumHeadBytes())
+                        .setMaxChunkSize(CHUNK_BYTES);
+        channel.pipeline().addLast(new ByteWatch(connection, mClock));
+        channel.pipeline().addLast(new HttpServerCodec(config), connection);
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/ChannelExchange.java
@@ -0,0 +1,146 @@
+package org.foxtailridge.forwarding.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.OptionalLong;
+
+/** A request on a caller's connection. */
+final class ChannelExchange implements CallerExchange {
+    private static final int RESET_ON_CLOSE = 0;
+
+    private final CallerConnection mConnection;
+    private final Channel mChannel;
+    private final IncomingRequest mRequest;
+    private final CallerHandler mHandler;
+    private CallerListener mListener;
+    private boolean mKeepOpen;
+    private boolean mFramed;
+    private boolean mEnded;
+    private boolean mUnflushed;
+
+    ChannelExchange(
+            CallerConnection connection,
+            Channel channel,
+            IncomingRequest request,
+            CallerHandler handler) {
+        mConnection = connection;
+        mChannel = channel;
+        mRequest = request;
+        mHandler = handler;
+        mKeepOpen = HttpUtil.isKeepAlive(request.head());
+    }
+
+    @Override
+    public HttpRequest head() {
+        return mRequest.head();
+    }
+
+    @Override
+    public ByteBuf body() {
+        return mRequest.body();
+    }
+
+    @Override
+    public long arrivedMilliseconds() {
+        return mRequest.arrivedMilliseconds();
+    }
+
+    @Override
+    public void listen(CallerListener listener) {
+        mListener = listener;
+    }
+
+    @Override
+    public void begin(int status, String reason, HttpHeaders headers, OptionalLong length) {
+        HttpResponse response =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, new HttpResponseStatus(status, reason), headers);
+        boolean oldCaller = mRequest.head().protocolVersion().equals(HttpVersion.HTTP_1_0);
+        mFramed = length.isPresent() || !oldCaller;
+        if (length.isPresent()) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, length.getAsLong());
+        } else if (mFramed) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        mKeepOpen &= mFramed && !mHandler.isStopping();
+        if (!mKeepOpen) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        } else if (oldCaller) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+        }
+        mChannel.write(response);
+        mUnflushed = true;
+    }
+
+    @Override
+    public void write(ByteBuf content) {
+        mChannel.write(new DefaultHttpContent(content));
+        mUnflushed = true;
+    }
+
+    @Override
+    public void flush() {
+        if (mUnflushed) {
+            mUnflushed = false;
+            mChannel.flush();
+        }
+    }
+
+    @Override
+    public void end() {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mRequest.release();
+        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        mConnection.exchangeEnded(mKeepOpen);
+    }
+
+    @Override
+    public void abort() {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mRequest.release();
+        if (!mFramed) {
+            // Without a frame an orderly close would make a part look whole.
+            mChannel.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
+        }
+        mChannel.close();
+    }
+
+    @Override
+    public boolean isWritable() {
+        return mChannel.isWritable();
+    }
+
+    void left() {
+        if (!mEnded) {
+            mEnded = true;
+            mRequest.release();
+            if (mListener != null) {
+                mListener.left();
+            }
+        }
+    }
+
+    void writable(boolean writable) {
+        if (!mEnded && mListener != null) {
+            mListener.writable(writable);
+        }
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/FailureBody.java
@@ -0,0 +1,21 @@
+package org.foxtailridge.forwarding.http;
+
+import java.util.Locale;
+import org.foxtailridge.core.error.ErrorKind;
+import org.foxtailridge.core.error.ErrorTable;
+import org.foxtailridge.core.json.Json;
+
+/** The body of a failure of this node. */
+public final class FailureBody {
+    private FailureBody() {}
+
+    /** Returns the body of a failure in JSON. */
+    public static byte[] of(ErrorKind kind, String message) {
+        String ran = ErrorTable.answerTo(kind).ran().name().toLowerCase(Locale.ROOT);
+        return Json.writeBytes(new Body(new Failure(kind.word(), message, ran)));
+    }
+
+    private record Body(Failure error) {}
+
+    private record Failure(String kind, String message, String ran) {}
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/AdapterBeliefs.java
@@ -0,0 +1,62 @@
+package org.foxtailridge.forwarding.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which adapters engines hold: what they announced, corrected by what the giver of orders has said
+ * since. Announcements lag behind orders, so that a correction counts for a while.
+ */
+final class AdapterBeliefs {
+    private final long mCorrectionMilliseconds;
+    private final Map<String, Map<Adapter, Correction>> mCorrections = new HashMap<>();
+
+    AdapterBeliefs(long correctionMilliseconds) {
+        mCorrectionMilliseconds = correctionMilliseconds;
+    }
+
+    /** Notes what the giver of orders says. */
+    void correct(
+            String engine, long start, String model, String adapter, boolean resident, long now) {
+        mCorrections
+                .computeIfAbsent(engine, name -> new HashMap<>())
+                .put(new Adapter(model, adapter), new Correction(start, resident, now));
+    }
+
+    void forget(String engine) {
+        mCorrections.remove(engine);
+    }
+
+    /** Returns the adapters of a model that an engine is believed to hold. */
+    List<String> of(String engine, long start, String model, List<String> announced, long now) {
+        Map<Adapter, Correction> corrections = mCorrections.getOrDefault(engine, Map.of());
+        Set<String> believed = new LinkedHashSet<>(announced);
+        corrections
+                .values()
+                .removeIf(
+                        correction ->
+                                correction.start() != start
+                                        || now - correction.atMilliseconds()
+                                                > mCorrectionMilliseconds);
+        corrections.forEach(
+                (adapter, correction) -> {
+                    if (!adapter.model().equals(model)) {
+                        return;
+                    }
+                    if (correction.resident()) {
+                        believed.add(adapter.name());
+                    } else {
+                        believed.remove(adapter.name());
+                    }
+                });
+        return new ArrayList<>(believed);
+    }
+
+    private record Adapter(String model, String name) {}
+
+    private record Correction(long start, boolean resident, long atMilliseconds) {}
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/DatagramNetwork.java
@@ -0,0 +1,121 @@
+package org.foxtailridge.forwarding.node;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageLite;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.BiConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.foxtailridge.core.name.Names;
+import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.forwarding.endpoint.EndpointAddress;
+import org.foxtailridge.protocol.envelope.Datagram;
+import org.foxtailridge.protocol.envelope.Subject;
+
+/**
+ * Datagrams between nodes. A message may be lost, come twice or out of order.
+ *
+ * <p>The name of a node is the address of its inner network, so that nothing has to be looked up.
+ *
+ * <pre>{@code
+ * DatagramNetwork network = new DatagramNetwork(loop, self, incarnation);
+ * network.receive(Subject.LIMITS, (sender, payload) -> ...);
+ * network.bind(address);
+ * network.send(NodeName.of("10.1.0.25:8229"), Subject.LIMITS, message);
+ * }</pre>
+ */
+public final class DatagramNetwork {
+    private static final Logger LOGGER = LogManager.getLogger(DatagramNetwork.class);
+
+    private final EventLoop mLoop;
+    private final NodeName mSelf;
+    private final long mIncarnation;
+    private final Map<Subject, BiConsumer<NodeName, byte[]>> mReceivers =
+            new EnumMap<>(Subject.class);
+    private final Map<NodeName, InetSocketAddress> mAddresses = new HashMap<>();
+    private Channel mChannel;
+    private long mSentBytes;
+
+    /** Creates a network that is not bound. */
+    public DatagramNetwork(EventLoop loop, NodeName self, long incarnation) {
+        mLoop = Objects.requireNonNull(loop, "loop");
+        mSelf = Objects.requireNonNull(self, "self");
+        mIncarnation = incarnation;
+    }
+
+    /** Sets what takes the messages of a subject. */
+    public void receive(Subject subject, BiConsumer<NodeName, byte[]> receiver) {
+        mReceivers.put(subject, receiver);
+    }
+
+    /** Starts to receive. */
+    public void bind(InetSocketAddress address) {
+        mChannel =
+                new Bootstrap()
+                        .group(mLoop)
+                        .channel(NioDatagramChannel.class)
+                        .handler(new Receiver())
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    /** Sends a message. */
+    public void send(NodeName receiver, Subject subject, MessageLite payload) {
+        byte[] bytes =
+                Datagram.newBuilder()
+                        .setSender(mSelf.value())
+                        .setIncarnation(mIncarnation)
+                        .setSubject(subject)
+                        .setPayload(payload.toByteString())
+                        .build()
+                        .toByteArray();
+        mSentBytes += bytes.length;
+        InetSocketAddress address =
+                mAddresses.computeIfAbsent(
+                        receiver, name -> EndpointAddress.parse(name.value()).toSocketAddress());
+        mChannel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
+    }
+
+    /** Returns the bytes sent since the start. */
+    public long sentBytes() {
+        return mSentBytes;
+    }
+
+    private void receive(byte[] bytes) throws InvalidProtocolBufferException {
+        Datagram datagram = Datagram.parseFrom(bytes);
+        BiConsumer<NodeName, byte[]> receiver = mReceivers.get(datagram.getSubject());
+        if (receiver != null && Names.isName(datagram.getSender())) {
+            receiver.accept(NodeName.of(datagram.getSender()), datagram.getPayload().toByteArray());
+        }
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            try {
+                receive(ByteBufUtil.getBytes(packet.content()));
+            } catch (InvalidProtocolBufferException unreadable) {
+                LOGGER.warn("datagram of {} can't be read", packet.sender());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOGGER.warn("datagram could not be handled", cause);
+        }
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/LateRoster.java
@@ -0,0 +1,25 @@
+package org.foxtailridge.forwarding.node;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.forwarding.endpoint.EndpointAnnouncement;
+import org.foxtailridge.forwarding.front.EndpointRoster;
+
+/** A roster that is only there once the queue is, which needs the forwarder first. */
+record LateRoster(Supplier<EndpointRoster> roster) implements EndpointRoster {
+    @Override
+    public Optional<EndpointAnnouncement> find(EndpointName endpoint) {
+        return roster.get().find(endpoint);
+    }
+
+    @Override
+    public int connectionLimit(String service) {
+        return roster.get().connectionLimit(service);
+    }
+
+    @Override
+    public void misplaced(EndpointName endpoint) {
+        roster.get().misplaced(endpoint);
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
@@ -0,0 +1,227 @@
+package org.foxtailridge.forwarding.node;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.foxtailridge.core.log.LogEvent;
+import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.membership.group.DutyGroup;
+import org.foxtailridge.membership.group.GroupDuties;
+import org.foxtailridge.membership.group.GroupOutbox;
+import org.foxtailridge.membership.group.GroupSettings;
+import org.foxtailridge.membership.group.HeldDuty;
+import org.foxtailridge.protocol.duties.DutiesMessage;
+import org.foxtailridge.protocol.duties.HeldDutyStatement;
+import org.foxtailridge.protocol.envelope.Subject;
+
+/**
+ * The duties of this node, and who else holds which.
+ *
+ * <p>Holders tell all nodes, so that nobody has to ask the log.
+ */
+final class NodeDuties implements GroupOutbox {
+    private static final Logger LOGGER = LogManager.getLogger(NodeDuties.class);
+    private static final GroupSettings SETTINGS =
+            new GroupSettings(
+                    Duration.ofMillis(2_000),
+                    Duration.ofMillis(600),
+                    Duration.ofMillis(150),
+                    Duration.ofMillis(1_000));
+    private static final long STATEMENT_MILLISECONDS = 700;
+    // A duty without a former holder is believed in only right after the fleet's first start.
+    private static final long FIRST_START_MILLISECONDS = 8_000;
+
+    private final ForwardingSettings mSettings;
+    private final Clock mClock;
+    private final DutyGroup mGroup;
+    private final NodeMembership mMembers;
+    private final DatagramNetwork mNetwork;
+    private final GroupDuties mDuties;
+    private final List<DutyListener> mListeners = new ArrayList<>();
+    private final Map<Integer, Holder> mHolders = new HashMap<>();
+    private final long mStartedMilliseconds;
+    private long mStatedMilliseconds;
+
+    NodeDuties(
+            ForwardingSettings settings,
+            Clock clock,
+            DutyGroup group,
+            NodeMembership members,
+            DatagramNetwork network) {
+        mSettings = settings;
+        mClock = clock;
+        mGroup = group;
+        mMembers = members;
+        mNetwork = network;
+        mStartedMilliseconds = clock.millis();
+        mDuties = new GroupDuties(SETTINGS, clock, this);
+        network.receive(Subject.DUTIES, this::receive);
+    }
+
+    void listen(DutyListener listener) {
+        mListeners.add(listener);
+    }
+
+    void tick() {
+        mDuties.tick();
+        long now = mClock.millis();
+        if (now - mStatedMilliseconds >= STATEMENT_MILLISECONDS) {
+            state();
+        }
+    }
+
+    /** Gives all duties up, for a planned stop. */
+    void giveUpAll() {
+        mDuties.leave();
+    }
+
+    Optional<HeldDuty> held(int partition) {
+        return mDuties.held(partition);
+    }
+
+    /** Returns the node that holds a duty, as far as is known. */
+    Optional<NodeName> holder(int partition) {
+        if (mDuties.held(partition).isPresent()) {
+            return Optional.of(mSettings.name());
+        }
+        return Optional.ofNullable(mHolders.get(partition)).map(Holder::node);
+    }
+
+    int heldCount() {
+        return mDuties.all().size();
+    }
+
+    @Override
+    public void join(long join, long generation) {
+        mGroup.join(mSettings.name().value(), SETTINGS.lifetime(), generation)
+                .whenComplete(
+                        (answer, failure) -> {
+                            if (failure == null) {
+                                mDuties.joined(join, answer);
+                            } else {
+                                mDuties.joinFailed(join);
+                            }
+                        });
+    }
+
+    @Override
+    public void commit(HeldDuty duty) {
+        mGroup.commit(
+                        mSettings.name().value(),
+                        mDuties.generation(),
+                        duty.partition(),
+                        duty.fencing())
+                .exceptionally(
+                        failure -> {
+                            LogEvent.named("duty_not_committed")
+                                    .number("partition", duty.partition())
+                                    .text("reason", failure.getMessage())
+                                    .writeTo(LOGGER);
+                            return null;
+                        });
+    }
+
+    @Override
+    public void leaveGroup() {
+        mGroup.leave(mSettings.name().value())
+                .exceptionally(
+                        failure -> {
+                            LOGGER.warn("the group was not told: {}", failure.getMessage());
+                            return null;
+                        });
+    }
+
+    @Override
+    public void taken(HeldDuty duty) {
+        HeldDuty believed = believed(duty);
+        log("duty_taken", believed);
+        mHolders.put(duty.partition(), new Holder(mSettings.name(), duty.fencing()));
+        mListeners.forEach(listener -> listener.held(believed));
+        mStatedMilliseconds = 0;
+    }
+
+    @Override
+    public void renewed(HeldDuty duty) {
+        HeldDuty believed = believed(duty);
+        mListeners.forEach(listener -> listener.held(believed));
+    }
+
+    @Override
+    public void lost(HeldDuty duty) {
+        log("duty_given_up", duty);
+        mListeners.forEach(listener -> listener.released(duty));
+    }
+
+    @Override
+    public void lapsed(HeldDuty duty) {
+        log("duty_lapsed", duty);
+        mListeners.forEach(listener -> listener.lapsed(duty));
+    }
+
+    /** A missing number of a former holder may only mean that it was not kept. */
+    private HeldDuty believed(HeldDuty duty) {
+        boolean firstStart =
+                mSettings.firstStart()
+                        && duty.since().toEpochMilli() - mStartedMilliseconds
+                                < FIRST_START_MILLISECONDS;
+        if (duty.former().isPresent() || firstStart) {
+            return duty;
+        }
+        return new HeldDuty(
+                duty.partition(), duty.fencing(), OptionalLong.of(0), duty.since(), duty.until());
+    }
+
+    private void state() {
+        mStatedMilliseconds = mClock.millis();
+        DutiesMessage.Builder message = DutiesMessage.newBuilder();
+        for (HeldDuty duty : mDuties.all()) {
+            message.addHeld(
+                    HeldDutyStatement.newBuilder()
+                            .setPartition(duty.partition())
+                            .setFencing(duty.fencing())
+                            .setFormer(duty.former().orElse(0)));
+        }
+        if (message.getHeldCount() > 0) {
+            DutiesMessage built = message.build();
+            mMembers.peers().forEach(peer -> mNetwork.send(peer, Subject.DUTIES, built));
+        }
+    }
+
+    private void receive(NodeName sender, byte[] payload) {
+        try {
+            for (HeldDutyStatement held : DutiesMessage.parseFrom(payload).getHeldList()) {
+                onStatement(sender, held);
+            }
+        } catch (InvalidProtocolBufferException unreadable) {
+            LOGGER.warn("message of {} about duties can't be read", sender);
+        }
+    }
+
+    private void onStatement(NodeName sender, HeldDutyStatement held) {
+        Holder known = mHolders.get(held.getPartition());
+        if (known != null && known.fencing() >= held.getFencing()) {
+            return;
+        }
+        mHolders.put(held.getPartition(), new Holder(sender, held.getFencing()));
+        mListeners.forEach(
+                listener -> listener.elsewhere(held.getPartition(), sender, held.getFencing()));
+    }
+
+    private void log(String event, HeldDuty duty) {
+        LogEvent.named(event)
+                .number("partition", duty.partition())
+                .number("fencing", duty.fencing())
+                .number("former", duty.former().orElse(0))
+                .writeTo(LOGGER);
+    }
+
+    private record Holder(NodeName node, long fencing) {}
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
@@ -0,0 +1,141 @@
+package org.foxtailridge.forwarding.node;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.foxtailridge.core.name.ClientAccountName;
+import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.forwarding.configuration.ForwardingAccount;
+import org.foxtailridge.forwarding.configuration.ForwardingConfiguration;
+import org.foxtailridge.limits.HomeLease;
+import org.foxtailridge.limits.LimiterSettings;
+import org.foxtailridge.limits.TokenLimit;
+import org.foxtailridge.limits.TokenLimiter;
+import org.foxtailridge.limits.grant.GrantLimiter;
+import org.foxtailridge.membership.group.HeldDuty;
+import org.foxtailridge.protocol.envelope.Subject;
+import org.foxtailridge.protocol.limits.LimitsMessage;
+
+/** Limits of client accounts; each account's home is the holder of one partition of duties. */
+final class NodeLimits implements DutyListener {
+    private static final Logger LOGGER = LogManager.getLogger(NodeLimits.class);
+    // Processes that may run at once: several times the nodes of one site, for replacements.
+    private static final int MOST_NODES = 16;
+    private static final int FLOOR_PERCENT = 5;
+    // A replaced process may outlive the start of its replacement by its time to stop.
+    private static final long FLOOR_DELAY_MILLISECONDS = 10_000;
+    private static final long GRANT_MILLISECONDS = 1_000;
+    private static final long LONGEST_WAIT_MILLISECONDS = 150;
+
+    private final TokenLimiter mLimiter;
+    private final Map<Integer, HeldDuty> mHeld = new HashMap<>();
+    private final Map<Integer, Elsewhere> mElsewhere = new HashMap<>();
+    private Map<ClientAccountName, Integer> mPartitions = Map.of();
+
+    NodeLimits(
+            ForwardingSettings settings, Clock clock, long incarnation, DatagramNetwork network) {
+        LimiterSettings limits =
+                LimiterSettings.builder(settings.name(), incarnation)
+                        .maximumNodes(MOST_NODES)
+                        .floorPercent(FLOOR_PERCENT)
+                        .floorDelayMilliseconds(
+                                settings.firstStart() ? 0 : FLOOR_DELAY_MILLISECONDS)
+                        .grantMilliseconds(GRANT_MILLISECONDS)
+                        .longestWaitMilliseconds(LONGEST_WAIT_MILLISECONDS)
+                        .build();
+        mLimiter =
+                GrantLimiter.create(
+                        limits,
+                        clock,
+                        (node, message) -> network.send(node, Subject.LIMITS, message));
+        network.receive(Subject.LIMITS, this::receive);
+    }
+
+    TokenLimiter limiter() {
+        return mLimiter;
+    }
+
+    void tick() {
+        mLimiter.tick();
+    }
+
+    void configurationChanged(
+            Optional<ForwardingConfiguration> former, ForwardingConfiguration current) {
+        Map<ClientAccountName, Integer> partitions = new HashMap<>();
+        for (ForwardingAccount account : current.accounts()) {
+            if (account.isLimited()) {
+                ClientAccountName name = ClientAccountName.of(account.name());
+                partitions.put(name, DutyPartitions.homeOf(name));
+                mLimiter.limitChanged(
+                        name, TokenLimit.of(account.ratePerSecond(), Math.max(1, account.burst())));
+            }
+        }
+        for (ClientAccountName name : mPartitions.keySet()) {
+            if (!partitions.containsKey(name)) {
+                mLimiter.limitRemoved(name);
+            }
+        }
+        mPartitions = partitions;
+        mHeld.values().forEach(this::held);
+        mElsewhere.forEach((partition, where) -> tellElsewhere(partition, where));
+    }
+
+    @Override
+    public void held(HeldDuty duty) {
+        mHeld.put(duty.partition(), duty);
+        mElsewhere.remove(duty.partition());
+        accountsOf(duty.partition())
+                .forEach(
+                        account ->
+                                mLimiter.homeHeld(
+                                        new HomeLease(
+                                                account,
+                                                duty.fencing(),
+                                                duty.until(),
+                                                duty.former())));
+    }
+
+    @Override
+    public void released(HeldDuty duty) {
+        mHeld.remove(duty.partition());
+        accountsOf(duty.partition()).forEach(mLimiter::releaseHome);
+    }
+
+    @Override
+    public void lapsed(HeldDuty duty) {
+        mHeld.remove(duty.partition());
+    }
+
+    @Override
+    public void elsewhere(int partition, NodeName holder, long fencing) {
+        Elsewhere where = new Elsewhere(holder, fencing);
+        mElsewhere.put(partition, where);
+        tellElsewhere(partition, where);
+    }
+
+    private void tellElsewhere(int partition, Elsewhere where) {
+        accountsOf(partition)
+                .forEach(account -> mLimiter.homeElsewhere(account, where.node(), where.fencing()));
+    }
+
+    private Iterable<ClientAccountName> accountsOf(int partition) {
+        return mPartitions.entrySet().stream()
+                .filter(entry -> entry.getValue() == partition)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private void receive(NodeName sender, byte[] payload) {
+        try {
+            mLimiter.receive(sender, LimitsMessage.parseFrom(payload));
+        } catch (InvalidProtocolBufferException unreadable) {
+            LOGGER.warn("message of {} about limits can't be read", sender);
+        }
+    }
+
+    private record Elsewhere(NodeName node, long fencing) {}
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
@@ -0,0 +1,463 @@
+package org.foxtailridge.forwarding.node;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.EventLoop;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.forwarding.configuration.EnginePool;
+import org.foxtailridge.forwarding.configuration.ForwardingConfiguration;
+import org.foxtailridge.forwarding.configuration.ForwardingService;
+import org.foxtailridge.forwarding.configuration.ListedModel;
+import org.foxtailridge.forwarding.endpoint.EndpointAnnouncement;
+import org.foxtailridge.forwarding.endpoint.EndpointListener;
+import org.foxtailridge.forwarding.endpoint.HeldModel;
+import org.foxtailridge.forwarding.engine.EngineControl;
+import org.foxtailridge.forwarding.engine.EngineReport;
+import org.foxtailridge.forwarding.front.AdapterPreparation;
+import org.foxtailridge.forwarding.front.ForwardedDemand;
+import org.foxtailridge.forwarding.front.RequestTargets;
+import org.foxtailridge.forwarding.request.WantedModel;
+import org.foxtailridge.membership.group.HeldDuty;
+import org.foxtailridge.placement.announced.AnnouncedPlacement;
+import org.foxtailridge.placement.announced.AnnouncedPlacementOutbox;
+import org.foxtailridge.placement.announced.AnnouncedPlacementSettings;
+import org.foxtailridge.placement.announced.EngineView;
+import org.foxtailridge.placement.announced.ModelOrder;
+import org.foxtailridge.placement.announced.ModelOrderAnswer;
+import org.foxtailridge.placement.announced.ModelSize;
+import org.foxtailridge.placement.announced.OrderLease;
+import org.foxtailridge.placement.announced.PoolSize;
+import org.foxtailridge.protocol.envelope.Subject;
+import org.foxtailridge.protocol.placement.AdapterResidence;
+import org.foxtailridge.protocol.placement.AdapterWanted;
+import org.foxtailridge.protocol.placement.DemandReport;
+import org.foxtailridge.protocol.placement.EndpointLoad;
+import org.foxtailridge.protocol.placement.ModelDemand;
+import org.foxtailridge.protocol.placement.PlacementMessage;
+
+/** Models and adapters: what this node asks for, and orders while it holds that duty. */
+final class NodePlacement
+        implements AnnouncedPlacementOutbox, AdapterPreparation, DutyListener, EndpointListener {
+    private static final Logger LOGGER = LogManager.getLogger(NodePlacement.class);
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
+    private static final long REPORT_MILLISECONDS = 300;
+    private static final long DEMAND_MILLISECONDS = 300;
+    private static final long ADAPTER_WAIT_MILLISECONDS = 350;
+
+    private final ForwardingSettings mSettings;
+    private final EventLoop mLoop;
+    private final Clock mClock;
+    private final EngineControl mEngines;
+    private final NodeMembership mMembers;
+    private final NodeDuties mDuties;
+    private final DatagramNetwork mNetwork;
+    private final AnnouncedPlacement mPlacement;
+    private final Map<AdapterKey, List<Preparation>> mPreparations = new HashMap<>();
+    private final Set<String> mOrdered = new HashSet<>();
+    private final Set<String> mAsked = new HashSet<>();
+    private NodeEndpoints mEndpoints;
+    private ForwardedDemand mDemand;
+    private long mDemandMilliseconds;
+    private long mReportMilliseconds;
+
+    NodePlacement(
+            ForwardingSettings settings,
+            EventLoop loop,
+            Clock clock,
+            EngineControl engines,
+            NodeMembership members,
+            NodeDuties duties,
+            DatagramNetwork network) {
+        mSettings = settings;
+        mLoop = loop;
+        mClock = clock;
+        mEngines = engines;
+        mMembers = members;
+        mDuties = duties;
+        mNetwork = network;
+        mPlacement = new AnnouncedPlacement(AnnouncedPlacementSettings.defaults(), clock, this);
+        network.receive(Subject.PLACEMENT, this::receive);
+    }
+
+    void use(NodeEndpoints endpoints, ForwardedDemand demand) {
+        mEndpoints = endpoints;
+        mDemand = demand;
+    }
+
+    void configurationChanged(ForwardingConfiguration configuration) {
+        List<PoolSize> pools = new ArrayList<>();
+        for (ForwardingService service : configuration.services()) {
+            service.engines().ifPresent(engines -> pools.add(pool(service.name(), engines)));
+        }
+        mPlacement.pools(pools);
+        mEndpoints.all().forEach(endpoint -> announced(Optional.empty(), endpoint));
+    }
+
+    void tick() {
+        long now = mClock.millis();
+        if (now - mDemandMilliseconds >= DEMAND_MILLISECONDS) {
+            mDemandMilliseconds = now;
+            tellDemand();
+        }
+        if (now - mReportMilliseconds >= REPORT_MILLISECONDS) {
+            mReportMilliseconds = now;
+            askOrdered();
+        }
+        mPlacement.tick();
+    }
+
+    @Override
+    public Runnable prepare(EndpointName endpoint, WantedModel wanted, Consumer<Boolean> done) {
+        Optional<EndpointAnnouncement> found = mEndpoints.find(endpoint);
+        if (found.isEmpty()) {
+            mLoop.execute(() -> done.accept(false));
+            return () -> {};
+        }
+        String model = RequestTargets.modelName(found.get().service(), wanted.model());
+        AdapterKey key = new AdapterKey(endpoint.value(), model, wanted.adapter().orElseThrow());
+        Preparation preparation = new Preparation(done);
+        List<Preparation> waiting = mPreparations.computeIfAbsent(key, unused -> new ArrayList<>());
+        waiting.add(preparation);
+        preparation.mTimer =
+                mLoop.schedule(
+                        () -> end(key, preparation, false),
+                        ADAPTER_WAIT_MILLISECONDS,
+                        TimeUnit.MILLISECONDS);
+        if (waiting.size() == 1) {
+            ask(key);
+        }
+        return () -> cancel(key, preparation);
+    }
+
+    @Override
+    public void send(ModelOrder order, Instant notAfter) {
+        Optional<EndpointAnnouncement> engine = mEndpoints.find(EndpointName.of(order.engine()));
+        boolean late = !mClock.instant().isBefore(notAfter);
+        if (engine.isEmpty() || late) {
+            mLoop.execute(() -> mPlacement.answered(order.number(), ModelOrderAnswer.NOT_SENT));
+            return;
+        }
+        if (order.adapter().isEmpty()) {
+            mOrdered.add(order.engine());
+        }
+        String model = order.model().substring(engine.get().service().length() + 1);
+        mEngines.order(engine.get(), model, order, mSettings.label(), ORDER_TIMEOUT)
+                .thenAccept(answer -> mPlacement.answered(order.number(), answer));
+    }
+
+    @Override
+    public void adapterResident(
+            String engine, long engineStart, String model, String adapter, boolean resident) {
+        AdapterResidence residence =
+                AdapterResidence.newBuilder()
+                        .setEndpoint(engine)
+                        .setEndpointStart(engineStart)
+                        .setModel(model)
+                        .setAdapter(adapter)
+                        .setResident(resident)
+                        .build();
+        PlacementMessage message = PlacementMessage.newBuilder().setResidence(residence).build();
+        mMembers.peers().forEach(peer -> mNetwork.send(peer, Subject.PLACEMENT, message));
+        onResidence(residence);
+    }
+
+    @Override
+    public void askReport(String engine) {
+        mOrdered.add(engine);
+        ask(engine);
+    }
+
+    @Override
+    public void held(HeldDuty duty) {
+        if (duty.partition() == DutyPartitions.ORDERS) {
+            boolean first = duty.former().isEmpty();
+            Instant from = first ? duty.since() : duty.since().plus(mSettings.orderPause());
+            mPlacement.lease(Optional.of(new OrderLease(duty.fencing(), from, duty.until())));
+        }
+    }
+
+    @Override
+    public void released(HeldDuty duty) {
+        lapsed(duty);
+    }
+
+    @Override
+    public void lapsed(HeldDuty duty) {
+        if (duty.partition() == DutyPartitions.ORDERS) {
+            mPlacement.lease(Optional.empty());
+            mOrdered.clear();
+        }
+    }
+
+    @Override
+    public void elsewhere(int partition, NodeName holder, long fencing) {
+        // Who holds the orders is asked for when a message to the holder is due.
+    }
+
+    @Override
+    public void announced(Optional<EndpointAnnouncement> former, EndpointAnnouncement current) {
+        mPlacement.engine(
+                view(
+                        current,
+                        current.ordersAccepted(),
+                        Optional.empty(),
+                        current.models(),
+                        current.inHostMemory(),
+                        current.onDisk()));
+    }
+
+    @Override
+    public void gone(EndpointAnnouncement former) {
+        mPlacement.engineGone(former.id());
+        mOrdered.remove(former.id());
+    }
+
+    private void ask(AdapterKey key) {
+        Optional<NodeName> holder = mDuties.holder(DutyPartitions.ORDERS);
+        if (holder.isEmpty()) {
+            return;
+        }
+        if (holder.get().equals(mSettings.name())) {
+            mPlacement.adapterWanted(key.endpoint(), key.model(), key.adapter());
+            return;
+        }
+        AdapterWanted wanted =
+                AdapterWanted.newBuilder()
+                        .setEndpoint(key.endpoint())
+                        .setModel(key.model())
+                        .setAdapter(key.adapter())
+                        .build();
+        mNetwork.send(
+                holder.get(),
+                Subject.PLACEMENT,
+                PlacementMessage.newBuilder().setWanted(wanted).build());
+    }
+
+    private void end(AdapterKey key, Preparation preparation, boolean ready) {
+        cancel(key, preparation);
+        preparation.mDone.accept(ready);
+    }
+
+    private void cancel(AdapterKey key, Preparation preparation) {
+        preparation.mTimer.cancel(false);
+        List<Preparation> waiting = mPreparations.get(key);
+        if (waiting != null) {
+            waiting.remove(preparation);
+            if (waiting.isEmpty()) {
+                mPreparations.remove(key);
+            }
+        }
+    }
+
+    private void onResidence(AdapterResidence residence) {
+        mEndpoints.adapterResident(
+                residence.getEndpoint(),
+                residence.getEndpointStart(),
+                residence.getModel(),
+                residence.getAdapter(),
+                residence.getResident());
+        if (!residence.getResident()) {
+            return;
+        }
+        AdapterKey key =
+                new AdapterKey(
+                        residence.getEndpoint(), residence.getModel(), residence.getAdapter());
+        for (Preparation preparation : List.copyOf(mPreparations.getOrDefault(key, List.of()))) {
+            end(key, preparation, true);
+        }
+    }
+
+    private void receive(NodeName sender, byte[] payload) {
+        try {
+            PlacementMessage message = PlacementMessage.parseFrom(payload);
+            switch (message.getKindCase()) {
+                case DEMAND -> onDemand(sender, message.getDemand());
+                case WANTED ->
+                        mPlacement.adapterWanted(
+                                message.getWanted().getEndpoint(),
+                                message.getWanted().getModel(),
+                                message.getWanted().getAdapter());
+                case RESIDENCE -> onResidence(message.getResidence());
+                default -> LOGGER.debug("message of {} has an unknown kind", sender);
+            }
+        } catch (InvalidProtocolBufferException unreadable) {
+            LOGGER.warn("message of {} about placement can't be read", sender);
+        }
+    }
+
+    private void onDemand(NodeName sender, DemandReport report) {
+        Map<String, Double> underWay = new HashMap<>();
+        for (ModelDemand demand : report.getModelsList()) {
+            underWay.put(demand.getModel(), (double) demand.getRunning());
+        }
+        mPlacement.demand(sender.value(), underWay);
+        Map<String, Integer> inFlight = new HashMap<>();
+        for (EndpointLoad load : report.getEndpointsList()) {
+            inFlight.put(load.getEndpoint(), load.getInFlight());
+        }
+        mEndpoints.load().told(sender, inFlight, mClock.millis());
+    }
+
+    /** Tells all nodes what this one asks for and has in flight. */
+    private void tellDemand() {
+        DemandReport.Builder report =
+                DemandReport.newBuilder()
+                        .setNode(mSettings.name().value())
+                        .setDataCentre(mSettings.dataCentre().value());
+        Map<String, Double> underWay = new LinkedHashMap<>();
+        mDemand.take()
+                .forEach(
+                        (name, demand) -> {
+                            // What came and went between two reports counts as one under way.
+                            int count = Math.max(demand.underWay(), came(demand) ? 1 : 0);
+                            underWay.put(name, (double) count);
+                            report.addModels(
+                                    ModelDemand.newBuilder()
+                                            .setModel(name)
+                                            .setRequestsPerSecond(demand.requestsPerSecond())
+                                            .setTokensPerSecond(demand.tokensPerSecond())
+                                            .setRunning(count));
+                        });
+        for (EndpointAnnouncement endpoint : mEndpoints.all()) {
+            int inFlight = mEndpoints.inFlight(endpoint);
+            if (inFlight > 0) {
+                report.addEndpoints(
+                        EndpointLoad.newBuilder().setEndpoint(endpoint.id()).setInFlight(inFlight));
+            }
+        }
+        mPlacement.demand(mSettings.name().value(), underWay);
+        PlacementMessage message = PlacementMessage.newBuilder().setDemand(report).build();
+        mMembers.peers().forEach(peer -> mNetwork.send(peer, Subject.PLACEMENT, message));
+        mEndpoints.reportLoads();
+    }
+
+    private static boolean came(ForwardedDemand.Demand demand) {
+        return demand.requestsPerSecond() > 0;
+    }
+
+    /** Asks engines that carry out orders what they hold. */
+    private void askOrdered() {
+        if (mDuties.held(DutyPartitions.ORDERS).isPresent()) {
+            Set.copyOf(mOrdered).forEach(this::ask);
+        }
+    }
+
+    private void ask(String engine) {
+        Optional<EndpointAnnouncement> found = mEndpoints.find(EndpointName.of(engine));
+        if (found.isEmpty() || !mAsked.add(engine)) {
+            return;
+        }
+        mEngines.report(found.get(), REPORT_TIMEOUT)
+                .whenComplete(
+                        (report, failure) -> {
+                            mAsked.remove(engine);
+                            if (failure == null) {
+                                onReport(found.get(), report);
+                            } else {
+                                LOGGER.debug("no report of {}: {}", engine, failure.toString());
+                            }
+                        });
+    }
+
+    private void onReport(EndpointAnnouncement engine, EngineReport report) {
+        long start = report.startMilliseconds().orElse(engine.startMilliseconds());
+        if (start != engine.startMilliseconds()) {
+            return;
+        }
+        mPlacement.engine(
+                view(
+                        engine,
+                        report.ordersAccepted(),
+                        Optional.of(report.busy()),
+                        report.models(),
+                        report.inHostMemory(),
+                        report.onDisk()));
+        if (!report.busy()) {
+            mOrdered.remove(engine.id());
+        }
+    }
+
+    private static EngineView view(
+            EndpointAnnouncement engine,
+            long orders,
+            Optional<Boolean> busy,
+            List<HeldModel> models,
+            List<String> inHostMemory,
+            List<String> onDisk) {
+        Map<String, List<String>> adapters = new LinkedHashMap<>();
+        models.forEach(
+                model ->
+                        adapters.put(
+                                RequestTargets.modelName(engine.service(), model.name()),
+                                model.adapters()));
+        return new EngineView(
+                engine.id(),
+                engine.service(),
+                engine.startMilliseconds(),
+                !engine.draining(),
+                orders,
+                busy,
+                adapters,
+                qualified(engine.service(), inHostMemory),
+                qualified(engine.service(), onDisk));
+    }
+
+    private static Set<String> qualified(String service, List<String> models) {
+        Set<String> names = new HashSet<>();
+        models.forEach(model -> names.add(RequestTargets.modelName(service, model)));
+        return names;
+    }
+
+    private static PoolSize pool(String service, EnginePool engines) {
+        List<ModelSize> models = new ArrayList<>();
+        for (ListedModel model : engines.models()) {
+            models.add(
+                    new ModelSize(
+                            RequestTargets.modelName(service, model.name()),
+                            model.megabytes(),
+                            model.adapterMegabytes(),
+                            seconds(model.storeLoad()),
+                            seconds(model.diskLoad()),
+                            seconds(model.memoryLoad())));
+        }
+        return new PoolSize(
+                service,
+                engines.slots(),
+                engines.megabytes(),
+                engines.adapterPlaces(),
+                engines.loadsPerSecond(),
+                models);
+    }
+
+    private static double seconds(Duration duration) {
+        return duration.toNanos() / 1e9;
+    }
+
+    private record AdapterKey(String endpoint, String model, String adapter) {}
+
+    private static final class Preparation {
+        private final Consumer<Boolean> mDone;
+        private ScheduledFuture<?> mTimer;
+
+        private Preparation(Consumer<Boolean> done) {
+            mDone = done;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
@@ -0,0 +1,77 @@
+package org.foxtailridge.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.foxtailridge.core.error.FoxtailridgeException;
+import org.foxtailridge.core.log.LogEvent;
+import org.foxtailridge.core.time.MonotonicClock;
+import org.foxtailridge.forwarding.http.ConnectionSettings;
+import org.foxtailridge.forwarding.http.EndpointConnections;
+import org.foxtailridge.forwarding.http.HttpCalls;
+import org.foxtailridge.forwarding.node.ForwardingNode;
+import org.foxtailridge.forwarding.node.ForwardingSettings;
+import org.foxtailridge.node.settings.ForwardingSettingsFile;
+import org.foxtailridge.platform.PlatformAdapter;
+import sun.misc.Signal;
+
+/** Runs a node on the platform until the process is told to stop. */
+public final class PlatformNodeMain {
+    private static final Logger LOGGER = LogManager.getLogger(PlatformNodeMain.class);
+    private static final String SETTINGS_VARIABLE = "FOXTAILRIDGE_NODE_FILE";
+    private static final int USAGE_ERROR = 2;
+    private static final int CONNECTIONS_PER_ADDRESS = 6;
+
+    private PlatformNodeMain() {}
+
+    /** Starts the process; exits with 2 when the settings are refused. */
+    public static void main(String[] arguments) throws InterruptedException {
+        System.setProperty("io.netty.noUnsafe", "false");
+        try {
+            run(ForwardingSettingsFile.read(Path.of(settingsFile(arguments))));
+        } catch (FoxtailridgeException refused) {
+            System.err.println(refused.getMessage());
+            System.exit(USAGE_ERROR);
+        }
+    }
+
+    private static String settingsFile(String[] arguments) {
+        String file = arguments.length > 0 ? arguments[0] : System.getenv(SETTINGS_VARIABLE);
+        if (file == null) {
+            System.err.println("expected a settings file in " + SETTINGS_VARIABLE);
+            System.exit(USAGE_ERROR);
+        }
+        return file;
+    }
+
+    private static void run(ForwardingSettingsFile file) throws InterruptedException {
+        ForwardingSettings settings = file.settings();
+        Clock clock = MonotonicClock.start();
+        EventLoop loop =
+                new MultiThreadIoEventLoopGroup(
+                                1, new DefaultThreadFactory("node"), NioIoHandler.newFactory())
+                        .next();
+        EndpointConnections connections =
+                new EndpointConnections(loop, ConnectionSettings.defaults(), clock);
+        HttpCalls calls = new HttpCalls(loop, connections, CONNECTIONS_PER_ADDRESS);
+        ForwardingNode node =
+                new ForwardingNode(
+                        settings, loop, clock, new PlatformAdapter(calls, file.storeAddress()));
+        CountDownLatch stopped = new CountDownLatch(1);
+        Signal.handle(
+                new Signal("TERM"),
+                signal -> loop.execute(() -> node.stop().thenRun(stopped::countDown)));
+        Signal.handle(
+                new Signal("HUP"), signal -> LogEvent.named("settings_reloaded").writeTo(LOGGER));
+        node.start();
+        stopped.await();
+        LogManager.shutdown();
+        Runtime.getRuntime().halt(0);
+    }
+}
--- a/node/src/main/java/org/foxtailridge/node/caller/AnswerHead.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/AnswerHead.java
@@ -1,10 +1,10 @@
 package org.foxtailridge.node.caller;
 
 import java.util.List;
+import org.foxtailridge.clients.engine.Usage;
 import org.foxtailridge.node.caller.CompletionBodies.Body;
 import org.foxtailridge.node.caller.CompletionBodies.Choice;
 import org.foxtailridge.node.caller.CompletionBodies.UsageBody;
-import org.foxtailridge.platform.engine.Usage;
 
 /**
  * What all parts of one answer have in common.
--- a/node/src/main/java/org/foxtailridge/node/caller/AnswerSink.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/AnswerSink.java
@@ -1,9 +1,9 @@
 package org.foxtailridge.node.caller;
 
 import org.eclipse.jetty.util.Callback;
+import org.foxtailridge.clients.engine.CompletionToken;
+import org.foxtailridge.clients.engine.Usage;
 import org.foxtailridge.core.error.FoxtailridgeException;
-import org.foxtailridge.platform.engine.CompletionToken;
-import org.foxtailridge.platform.engine.Usage;
 
 /** Writes the answer to a completion; each form of answer has its own sink. */
 interface AnswerSink {
--- a/node/src/main/java/org/foxtailridge/node/caller/AnswerUsage.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/AnswerUsage.java
@@ -1,7 +1,7 @@
 package org.foxtailridge.node.caller;
 
-import org.foxtailridge.platform.engine.CompletionToken;
-import org.foxtailridge.platform.engine.Usage;
+import org.foxtailridge.clients.engine.CompletionToken;
+import org.foxtailridge.clients.engine.Usage;
 
 /** Counts the tokens of one answer over all its attempts. */
 final class AnswerUsage {
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionBodies.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionBodies.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
-import org.foxtailridge.platform.engine.ChatMessage;
-import org.foxtailridge.platform.engine.CompletionToken;
+import org.foxtailridge.clients.engine.ChatMessage;
+import org.foxtailridge.clients.engine.CompletionToken;
 
 /** Bodies of answers to completions, in the shape that callers' libraries expect. */
 final class CompletionBodies {
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionCalls.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionCalls.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.foxtailridge.platform.engine.ChatMessage;
-import org.foxtailridge.platform.engine.CompletionCall;
+import org.foxtailridge.clients.engine.ChatMessage;
+import org.foxtailridge.clients.engine.CompletionCall;
 import org.foxtailridge.routing.EnginePriority;
 import org.foxtailridge.routing.RouteRequest;
 import org.foxtailridge.routing.RouteTarget;
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionRequest.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionRequest.java
@@ -3,8 +3,8 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import org.foxtailridge.clients.engine.ChatMessage;
 import org.foxtailridge.configuration.model.WorkClass;
-import org.foxtailridge.platform.engine.ChatMessage;
 
 /**
  * A completion that a caller asks for.
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionRequestParser.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionRequestParser.java
@@ -12,9 +12,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.foxtailridge.clients.engine.ChatMessage;
 import org.foxtailridge.configuration.model.WorkClass;
 import org.foxtailridge.core.json.Json;
-import org.foxtailridge.platform.engine.ChatMessage;
 
 /** Parses the body of a completion; fields that are not known are ignored. */
 final class CompletionRequestParser {
--- a/node/src/main/java/org/foxtailridge/node/caller/CompletionServices.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/CompletionServices.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.foxtailridge.clients.engine.EngineClient;
 import org.foxtailridge.node.duty.ConfigurationView;
 import org.foxtailridge.node.duty.DemandCounter;
 import org.foxtailridge.node.duty.DutyTimer;
@@ -13,7 +14,6 @@
 import org.foxtailridge.node.duty.ReportsDuty;
 import org.foxtailridge.node.duty.RoutingDuty;
 import org.foxtailridge.node.metrics.NodeMetrics;
-import org.foxtailridge.platform.engine.EngineClient;
 
 /** What requests are run with. */
 @Singleton
--- a/node/src/main/java/org/foxtailridge/node/caller/EngineConnection.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/EngineConnection.java
@@ -1,8 +1,8 @@
 package org.foxtailridge.node.caller;
 
-import org.foxtailridge.platform.engine.CompletionListener;
-import org.foxtailridge.platform.engine.CompletionStream;
-import org.foxtailridge.platform.engine.CompletionToken;
+import org.foxtailridge.clients.engine.CompletionListener;
+import org.foxtailridge.clients.engine.CompletionStream;
+import org.foxtailridge.clients.engine.CompletionToken;
 
 /** One connection on which tokens of an attempt arrive; hands each event to the run. */
 final class EngineConnection implements CompletionListener {
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceAnswers.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceAnswers.java
@@ -1,8 +1,8 @@
 package org.foxtailridge.node.caller;
 
 import java.util.List;
+import org.foxtailridge.clients.service.ServiceAnswer;
 import org.foxtailridge.execution.claim.CallOutcome;
-import org.foxtailridge.platform.service.ServiceAnswer;
 
 /** Turns answers of services into outcomes that claims keep, and back. */
 final class ServiceAnswers {
--- a/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/ServiceHandler.java
@@ -3,13 +3,13 @@
 import java.util.Optional;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.foxtailridge.clients.service.ServiceClient;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.configuration.model.Service;
 import org.foxtailridge.configuration.model.ServiceRoute;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.execution.claim.ClaimCall;
 import org.foxtailridge.node.duty.ClaimsDuty;
-import org.foxtailridge.platform.service.ServiceClient;
 
 /** Serves {@code ANY /services/{service}/…}. */
 @Singleton
--- a/node/src/main/java/org/foxtailridge/node/caller/StreamedAnswerSink.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/StreamedAnswerSink.java
@@ -3,10 +3,10 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.util.Callback;
+import org.foxtailridge.clients.engine.CompletionToken;
+import org.foxtailridge.clients.engine.Usage;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.json.Json;
-import org.foxtailridge.platform.engine.CompletionToken;
-import org.foxtailridge.platform.engine.Usage;
 
 /** Writes each token as a server-sent event; a failure becomes an error event. */
 final class StreamedAnswerSink implements AnswerSink {
--- a/node/src/main/java/org/foxtailridge/node/caller/WholeAnswerSink.java
+++ b/node/src/main/java/org/foxtailridge/node/caller/WholeAnswerSink.java
@@ -1,10 +1,10 @@
 package org.foxtailridge.node.caller;
 
 import org.eclipse.jetty.util.Callback;
+import org.foxtailridge.clients.engine.CompletionToken;
+import org.foxtailridge.clients.engine.Usage;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.json.Json;
-import org.foxtailridge.platform.engine.CompletionToken;
-import org.foxtailridge.platform.engine.Usage;
 
 /** Gathers the tokens and writes them as one body once the answer is whole. */
 final class WholeAnswerSink implements AnswerSink {
--- a/node/src/main/java/org/foxtailridge/node/duty/CacheEventReader.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/CacheEventReader.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.foxtailridge.clients.engine.CacheEvent;
+import org.foxtailridge.clients.engine.CacheEventPage;
+import org.foxtailridge.clients.engine.EngineClient;
 import org.foxtailridge.core.name.EndpointName;
 import org.foxtailridge.core.thread.DutyThread;
-import org.foxtailridge.platform.engine.CacheEvent;
-import org.foxtailridge.platform.engine.CacheEventPage;
-import org.foxtailridge.platform.engine.EngineClient;
 import org.foxtailridge.routing.CacheEvents;
 import org.foxtailridge.routing.PromptPrefix;
 
--- a/node/src/main/java/org/foxtailridge/node/duty/ClaimsDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ClaimsDuty.java
@@ -10,6 +10,9 @@
 import java.util.function.Supplier;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.foxtailridge.clients.log.AppendRefusedException;
+import org.foxtailridge.clients.log.LogPage;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.name.ClientAccountName;
 import org.foxtailridge.core.thread.DutyThread;
@@ -23,9 +26,6 @@
 import org.foxtailridge.node.caller.RefusedException;
 import org.foxtailridge.node.peer.PeerIdentity;
 import org.foxtailridge.node.settings.NodeSettings;
-import org.foxtailridge.platform.log.AppendRefusedException;
-import org.foxtailridge.platform.log.LogPage;
-import org.foxtailridge.platform.log.LogService;
 
 /** Claims non-idempotent calls in the stream {@code claims} of the log. */
 @Singleton
--- a/node/src/main/java/org/foxtailridge/node/duty/ConfigurationDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ConfigurationDuty.java
@@ -12,6 +12,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.foxtailridge.clients.log.LogPage;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.configuration.fold.ConfigurationState;
 import org.foxtailridge.configuration.follow.ConfigurationFollower;
 import org.foxtailridge.configuration.follow.FollowerOutbox;
@@ -28,8 +30,6 @@
 import org.foxtailridge.node.peer.PeerIdentity;
 import org.foxtailridge.node.peer.PeerNetwork;
 import org.foxtailridge.node.settings.NodeSettings;
-import org.foxtailridge.platform.log.LogPage;
-import org.foxtailridge.platform.log.LogService;
 import org.foxtailridge.protocol.configuration.ConfigurationMessage;
 import org.foxtailridge.protocol.envelope.Subject;
 
--- a/node/src/main/java/org/foxtailridge/node/duty/LeasesDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/LeasesDuty.java
@@ -11,6 +11,8 @@
 import java.util.function.Consumer;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.foxtailridge.clients.log.LogPage;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.configuration.model.Configuration;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.core.thread.DutyThread;
@@ -25,8 +27,6 @@
 import org.foxtailridge.membership.lease.Leases;
 import org.foxtailridge.membership.probe.MembershipView;
 import org.foxtailridge.node.peer.PeerIdentity;
-import org.foxtailridge.platform.log.LogPage;
-import org.foxtailridge.platform.log.LogService;
 
 /** Stands for duties by rendezvous rank and keeps their leases through the log. */
 @Singleton
--- a/node/src/main/java/org/foxtailridge/node/duty/LogTail.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/LogTail.java
@@ -5,10 +5,10 @@
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.foxtailridge.clients.log.LogPage;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.thread.DutyThread;
-import org.foxtailridge.platform.log.LogPage;
-import org.foxtailridge.platform.log.LogService;
 
 /**
  * Reads a stream of the log page by page, for as long as the duty runs; a failed read is tried
--- a/node/src/main/java/org/foxtailridge/node/duty/PlacementOrders.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/PlacementOrders.java
@@ -8,6 +8,9 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.foxtailridge.clients.engine.EngineClient;
+import org.foxtailridge.clients.engine.EngineOrder;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.configuration.model.Endpoint;
 import org.foxtailridge.core.json.Json;
 import org.foxtailridge.core.thread.DutyThread;
@@ -17,9 +20,6 @@
 import org.foxtailridge.placement.order.OrderAnswer;
 import org.foxtailridge.placement.order.OrderRecord;
 import org.foxtailridge.placement.order.OrderRecordCodec;
-import org.foxtailridge.platform.engine.EngineClient;
-import org.foxtailridge.platform.engine.EngineOrder;
-import org.foxtailridge.platform.log.LogService;
 import org.foxtailridge.protocol.placement.PlacementStep;
 
 /** Records orders in the log, sends them to engines and brings the answers back. */
@@ -137,7 +137,7 @@
                 order.workingBytes());
     }
 
-    private static OrderAnswer answerOf(org.foxtailridge.platform.engine.OrderAnswer answer) {
+    private static OrderAnswer answerOf(org.foxtailridge.clients.engine.OrderAnswer answer) {
         if (answer.status() == CONFLICT) {
             return OrderAnswer.OLD_FENCING;
         }
--- a/node/src/main/java/org/foxtailridge/node/duty/PlacementReports.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/PlacementReports.java
@@ -2,10 +2,10 @@
 
 import java.util.List;
 import java.util.Locale;
+import org.foxtailridge.clients.engine.LoadReport;
+import org.foxtailridge.clients.engine.Resident;
 import org.foxtailridge.placement.engine.Artifact;
 import org.foxtailridge.placement.engine.ResidentState;
-import org.foxtailridge.platform.engine.LoadReport;
-import org.foxtailridge.platform.engine.Resident;
 
 /** Turns load reports of the engines' protocol into those of placement. */
 final class PlacementReports {
--- a/node/src/main/java/org/foxtailridge/node/duty/ReportsDuty.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/ReportsDuty.java
@@ -11,14 +11,14 @@
 import java.util.function.BiConsumer;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.foxtailridge.clients.engine.EngineClient;
+import org.foxtailridge.clients.engine.LoadReport;
 import org.foxtailridge.configuration.model.Endpoint;
 import org.foxtailridge.configuration.model.EndpointKind;
 import org.foxtailridge.core.name.EndpointName;
 import org.foxtailridge.core.thread.DutyThread;
 import org.foxtailridge.execution.quarantine.EndpointStart;
 import org.foxtailridge.node.settings.NodeSettings;
-import org.foxtailridge.platform.engine.EngineClient;
-import org.foxtailridge.platform.engine.LoadReport;
 import org.foxtailridge.routing.EndpointState;
 
 /** Reads the load reports of all listed engines at fixed intervals. */
--- a/node/src/main/java/org/foxtailridge/node/duty/RoutingReports.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/RoutingReports.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import org.foxtailridge.platform.engine.LoadReport;
-import org.foxtailridge.platform.engine.Resident;
+import org.foxtailridge.clients.engine.LoadReport;
+import org.foxtailridge.clients.engine.Resident;
 import org.foxtailridge.routing.EngineRole;
 import org.foxtailridge.routing.ResidentState;
 
--- a/node/src/main/java/org/foxtailridge/node/duty/SnapshotPublisher.java
+++ b/node/src/main/java/org/foxtailridge/node/duty/SnapshotPublisher.java
@@ -8,10 +8,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.foxtailridge.clients.log.LogService;
 import org.foxtailridge.configuration.fold.ConfigurationState;
 import org.foxtailridge.configuration.publish.SnapshotSchedule;
 import org.foxtailridge.configuration.record.RecordCodec;
-import org.foxtailridge.platform.log.LogService;
 
 /** Appends snapshots of the configuration while this node holds the duty. */
 final class SnapshotPublisher {
--- a/node/src/main/java/org/foxtailridge/node/platform/CuttableLog.java
+++ b/node/src/main/java/org/foxtailridge/node/platform/CuttableLog.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.foxtailridge.platform.log.AppendRefusedException;
-import org.foxtailridge.platform.log.AppendUnresolvedException;
-import org.foxtailridge.platform.log.LogPage;
-import org.foxtailridge.platform.log.LogService;
-import org.foxtailridge.platform.log.LogUnavailableException;
+import org.foxtailridge.clients.log.AppendRefusedException;
+import org.foxtailridge.clients.log.AppendUnresolvedException;
+import org.foxtailridge.clients.log.LogPage;
+import org.foxtailridge.clients.log.LogService;
+import org.foxtailridge.clients.log.LogUnavailableException;
 
 /** The log service behind a switch that cuts it off. */
 public final class CuttableLog implements LogService {
--- a/node/src/main/java/org/foxtailridge/node/platform/CuttableVmList.java
+++ b/node/src/main/java/org/foxtailridge/node/platform/CuttableVmList.java
@@ -1,9 +1,9 @@
 package org.foxtailridge.node.platform;
 
 import java.util.concurrent.CompletableFuture;
-import org.foxtailridge.platform.vm.VmList;
-import org.foxtailridge.platform.vm.VmListUnavailableException;
-import org.foxtailridge.platform.vm.VmPage;
+import org.foxtailridge.clients.vm.VmList;
+import org.foxtailridge.clients.vm.VmListUnavailableException;
+import org.foxtailridge.clients.vm.VmPage;
 
 /** The VM list behind a switch that cuts it off. */
 public final class CuttableVmList implements VmList {
--- a/node/src/main/java/org/foxtailridge/node/settings/Setting.java
+++ b/node/src/main/java/org/foxtailridge/node/settings/Setting.java
@@ -52,10 +52,21 @@
         return new Setting(key, SettingType.NUMBER, unit, defaultValue, minimum, maximum, meaning);
     }
 
+    static Setting decimal(
+            String key,
+            String unit,
+            double defaultValue,
+            long minimum,
+            long maximum,
+            String meaning) {
+        return new Setting(key, SettingType.DECIMAL, unit, defaultValue, minimum, maximum, meaning);
+    }
+
     /** Returns what values are allowed, as text. */
     public String allowed() {
         return switch (type) {
             case NUMBER -> "a whole number from " + minimum + " to " + maximum;
+            case DECIMAL -> "a number from " + minimum + " to " + maximum;
             case FLAG -> "true or false";
             case TEXT -> "a text in quotes";
         };
--- a/node/src/main/java/org/foxtailridge/node/settings/SettingType.java
+++ b/node/src/main/java/org/foxtailridge/node/settings/SettingType.java
@@ -4,6 +4,8 @@
 public enum SettingType {
     /** A whole number. */
     NUMBER,
+    /** A number with or without a fraction. */
+    DECIMAL,
     /** A text. */
     TEXT,
     /** True or false. */
--- a/node/src/main/java/org/foxtailridge/node/settings/SettingsFile.java
+++ b/node/src/main/java/org/foxtailridge/node/settings/SettingsFile.java
@@ -52,6 +52,10 @@
         return (Long) mValues.get(setting.key());
     }
 
+    double decimal(Setting setting) {
+        return ((Number) mValues.get(setting.key())).doubleValue();
+    }
+
     String text(Setting setting) {
         return (String) mValues.get(setting.key());
     }
@@ -91,6 +95,10 @@
                     value instanceof Long number
                             && number >= setting.minimum()
                             && number <= setting.maximum();
+            case DECIMAL ->
+                    value instanceof Number number
+                            && number.doubleValue() >= setting.minimum()
+                            && number.doubleValue() <= setting.maximum();
             case TEXT -> value instanceof String;
             case FLAG -> value instanceof Boolean;
         };
--- /dev/null
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -0,0 +1,240 @@
+package org.foxtailridge.placement.announced;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides which model is to be loaded next where, and what makes room for it.
+ *
+ * <p>A listed model without a copy comes first when requests wait for it, then one without, then
+ * models whose copies carry the most. A copy makes room only while its model keeps as many copies
+ * as it needs; the last copy of a model that nobody asks for gives way only to one that is asked
+ * for and has none.
+ */
+final class CopyPlanner {
+    private static final double NO_COPY_ASKED_FOR = 1e9;
+    private static final double NO_COPY = 1e6;
+
+    private final AnnouncedPlacementSettings mSettings;
+    private final PoolSize mPool;
+    private final List<EngineState> mEngines;
+    private final ModelDemands mDemands;
+    private final Map<String, RoomBeingMade> mRoom;
+    private final StoreLoads mStore;
+    private final long mNow;
+    private final Set<EngineState> mUsed = new HashSet<>();
+
+    CopyPlanner(
+            AnnouncedPlacementSettings settings,
+            PoolSize pool,
+            Collection<EngineState> engines,
+            ModelDemands demands,
+            Map<String, RoomBeingMade> room,
+            StoreLoads store,
+            long now) {
+        mSettings = settings;
+        mPool = pool;
+        mEngines = List.copyOf(engines);
+        mDemands = demands;
+        mRoom = room;
+        mStore = store;
+        mNow = now;
+    }
+
+    /** Returns the steps to take now, one for each engine at most. */
+    List<CopyStep> plan() {
+        mRoom.values().removeIf(room -> mNow >= room.untilMilliseconds());
+        List<Want> wants = new ArrayList<>();
+        for (ModelSize model : mPool.models()) {
+            want(model).ifPresent(wants::add);
+        }
+        wants.sort(Comparator.comparingDouble(Want::urgency).reversed());
+        List<CopyStep> steps = new ArrayList<>();
+        for (Want want : wants) {
+            step(want)
+                    .ifPresent(
+                            step -> {
+                                steps.add(step);
+                                mUsed.add(step.engine());
+                            });
+        }
+        return steps;
+    }
+
+    private Optional<Want> want(ModelSize model) {
+        String name = model.name();
+        double demand = mDemands.of(name);
+        int coming = (int) mEngines.stream().filter(engine -> engine.isLoading(name)).count();
+        int copies = copies(name) + coming;
+        int needed = needed(name);
+        if (copies >= needed) {
+            mRoom.remove(name);
+            return Optional.empty();
+        }
+        double urgency = demand / Math.max(1, copies);
+        if (copies == 0) {
+            urgency += demand > 0 ? NO_COPY_ASKED_FOR : NO_COPY;
+        }
+        return Optional.of(new Want(model, copies, urgency));
+    }
+
+    private int copies(String model) {
+        return (int) mEngines.stream().filter(engine -> engine.serves(model)).count();
+    }
+
+    /** Returns the copies that a model is to have. */
+    private int needed(String model) {
+        double demand = mDemands.of(model);
+        int byLoad = (int) Math.ceil(demand / (mPool.slots() * mSettings.fillTarget()));
+        int least = demand >= mSettings.activeRequests() ? 2 : 1;
+        long usable = mEngines.stream().filter(engine -> engine.view().usable()).count();
+        return (int) Math.min(usable, Math.max(least, byLoad));
+    }
+
+    private Optional<CopyStep> step(Want want) {
+        RoomBeingMade room = mRoom.get(want.model().name());
+        List<Place> places = new ArrayList<>();
+        for (EngineState engine : mEngines) {
+            boolean elsewhere = room != null && !room.engine().equals(engine.name());
+            if (!elsewhere && isEligible(engine, want.model().name())) {
+                place(engine, want).ifPresent(places::add);
+            }
+        }
+        return places.stream()
+                .min(Comparator.comparingDouble(Place::cost))
+                .flatMap(place -> begin(place, want));
+    }
+
+    private boolean isEligible(EngineState engine, String model) {
+        long late = mSettings.lateOrderLife().toMillis();
+        return engine.view().usable()
+                && !mUsed.contains(engine)
+                && engine.isIdle()
+                && !engine.isDoubtful()
+                && !engine.holds(model)
+                && isFreeFor(engine, model)
+                && !(engine.hasRestartedWithin(late, mNow) && engine.models().size() > 1);
+    }
+
+    /** Returns whether no other model has room made for it on the engine. */
+    private boolean isFreeFor(EngineState engine, String model) {
+        return mRoom.entrySet().stream()
+                .noneMatch(
+                        room ->
+                                room.getValue().engine().equals(engine.name())
+                                        && !room.getKey().equals(model));
+    }
+
+    private Optional<Place> place(EngineState engine, Want want) {
+        double free = mPool.megabytes() - engine.chargedMegabytes(mPool);
+        double missing = want.model().megabytes() - free;
+        List<String> victims = new ArrayList<>();
+        double lost = 0;
+        for (String victim : victims(engine, want)) {
+            if (missing <= 0) {
+                break;
+            }
+            victims.add(victim);
+            missing -= mPool.model(victim).map(ModelSize::megabytes).orElse(0.0);
+            lost += mDemands.of(victim) / Math.max(1, copies(victim)) + 1;
+        }
+        if (missing > 0) {
+            return Optional.empty();
+        }
+        double cost = loadSeconds(engine, want.model()) + lost + engineLoad(engine);
+        return Optional.of(new Place(engine, victims, cost));
+    }
+
+    /** Returns the models that may make room, those first that are missed least. */
+    private List<String> victims(EngineState engine, Want want) {
+        boolean urgent = want.urgency() >= NO_COPY_ASKED_FOR;
+        return engine.models().stream()
+                .filter(model -> mayGo(model, urgent, want))
+                .sorted(
+                        Comparator.<String>comparingInt(model -> copies(model) > 1 ? 0 : 1)
+                                .thenComparingDouble(this::loadPerCopy))
+                .toList();
+    }
+
+    private boolean mayGo(String model, boolean urgent, Want want) {
+        int copies = copies(model);
+        if (mPool.model(model).isEmpty()) {
+            return true;
+        }
+        if (copies > needed(model)) {
+            return true;
+        }
+        if (copies > 1) {
+            boolean worthMore = want.copies() == 0 || loadPerCopy(model) * 2 < want.urgency();
+            return worthMore;
+        }
+        return urgent && mDemands.of(model) == 0;
+    }
+
+    private double loadPerCopy(String model) {
+        return mDemands.of(model) / Math.max(1, copies(model));
+    }
+
+    private double engineLoad(EngineState engine) {
+        double load = 0;
+        for (String model : engine.models()) {
+            load += loadPerCopy(model);
+        }
+        return load / mPool.slots();
+    }
+
+    private static double loadSeconds(EngineState engine, ModelSize model) {
+        if (engine.view().inHostMemory().contains(model.name())) {
+            return model.memorySeconds();
+        }
+        return engine.view().onDisk().contains(model.name())
+                ? model.diskSeconds()
+                : model.storeSeconds();
+    }
+
+    private static boolean isAtHand(EngineState engine, ModelSize model) {
+        return engine.view().inHostMemory().contains(model.name())
+                || engine.view().onDisk().contains(model.name());
+    }
+
+    private Optional<CopyStep> begin(Place place, Want want) {
+        String model = want.model().name();
+        if (!place.victims().isEmpty()) {
+            long until = mNow + mSettings.roomLife().toMillis();
+            mRoom.put(model, new RoomBeingMade(place.engine().name(), until));
+            String victim = place.victims().get(0);
+            return Optional.of(new CopyStep(place.engine(), false, victim, model));
+        }
+        if (!isAtHand(place.engine(), want.model())) {
+            if (!mStore.isAvailable()) {
+                return Optional.empty();
+            }
+            mStore.take();
+        }
+        mRoom.remove(model);
+        return Optional.of(new CopyStep(place.engine(), true, model, model));
+    }
+
+    static Map<String, RoomBeingMade> noRoom() {
+        return new HashMap<>();
+    }
+
+    /**
+     * Room that is being made for a model.
+     *
+     * @param engine name of the engine
+     * @param untilMilliseconds when it is meant for the model no longer
+     */
+    record RoomBeingMade(String engine, long untilMilliseconds) {}
+
+    private record Want(ModelSize model, int copies, double urgency) {}
+
+    private record Place(EngineState engine, List<String> victims, double cost) {}
+}
--- /dev/null
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/EngineView.java
@@ -0,0 +1,41 @@
+package org.foxtailridge.placement.announced;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What an engine says it holds. Immutable.
+ *
+ * @param engine name of the engine
+ * @param service name of its service
+ * @param start instant of its process's start, in milliseconds since the epoch
+ * @param usable whether it takes work
+ * @param ordersAccepted orders that it has accepted since its start
+ * @param busy whether it carries out an order; empty when it does not say
+ * @param adapters names of the adapters in memory, by name of the model in memory
+ * @param inHostMemory models whose weights lie in its host memory
+ * @param onDisk models whose weights lie on its disk
+ */
+public record EngineView(
+        String engine,
+        String service,
+        long start,
+        boolean usable,
+        long ordersAccepted,
+        Optional<Boolean> busy,
+        Map<String, List<String>> adapters,
+        Set<String> inHostMemory,
+        Set<String> onDisk) {
+    /** Copies the collections. */
+    public EngineView {
+        Objects.requireNonNull(engine, "engine");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(busy, "busy");
+        adapters = Map.copyOf(adapters);
+        inHostMemory = Set.copyOf(inHostMemory);
+        onDisk = Set.copyOf(onDisk);
+    }
+}
