--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -92,9 +92,8 @@
     }
 
     @Override
-    public void channelActive(ChannelHandlerContext context) {
+    public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
-        context.fireChannelActive();
     }
 
     @Override
