--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/DutyListener.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/DutyListener.java
@@ -1,12 +1,19 @@
 package org.foxtailridge.forwarding.node;
 
+import java.util.OptionalLong;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.membership.group.HeldDuty;
 
 /** Is told who does which duty. */
 interface DutyListener {
-    /** This node holds a duty, or holds it for longer. */
-    void held(HeldDuty duty);
+    /**
+     * This node holds a duty, or holds it for longer.
+     *
+     * @param duty the duty
+     * @param former fencing number of the holder before, 0 when it isn't known; empty when there
+     *     was none ever
+     */
+    void held(HeldDuty duty, OptionalLong former);
 
     /** This node has given a duty up for good. */
     void released(HeldDuty duty);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
@@ -35,6 +35,7 @@
                     Duration.ofMillis(600),
                     Duration.ofMillis(150),
                     Duration.ofMillis(1_000));
+    private static final OptionalLong UNKNOWN = OptionalLong.of(0);
     private static final long STATEMENT_MILLISECONDS = 700;
     // A duty without a former holder is believed in only right after the fleet's first start.
     private static final long FIRST_START_MILLISECONDS = 8_000;
@@ -47,6 +48,7 @@
     private final GroupDuties mDuties;
     private final List<DutyListener> mListeners = new ArrayList<>();
     private final Map<Integer, Holder> mHolders = new HashMap<>();
+    private final Map<Integer, OptionalLong> mFormer = new HashMap<>();
     private final long mStartedMilliseconds;
     private long mStatedMilliseconds;
 
@@ -112,23 +114,6 @@
                         });
     }
 
-    @Override
-    public void commit(HeldDuty duty) {
-        mGroup.commit(
-                        mSettings.name().value(),
-                        mDuties.generation(),
-                        duty.partition(),
-                        duty.fencing())
-                .exceptionally(
-                        failure -> {
-                            LogEvent.named("duty_not_committed")
-                                    .number("partition", duty.partition())
-                                    .text("reason", failure.getMessage())
-                                    .writeTo(LOGGER);
-                            return null;
-                        });
-    }
-
     @Override
     public void leaveGroup() {
         mGroup.leave(mSettings.name().value())
@@ -141,17 +126,18 @@
 
     @Override
     public void taken(HeldDuty duty) {
-        HeldDuty believed = believed(duty);
-        log("duty_taken", believed);
+        OptionalLong former = formerOf(duty);
+        mFormer.put(duty.partition(), former);
         mHolders.put(duty.partition(), new Holder(mSettings.name(), duty.fencing()));
-        mListeners.forEach(listener -> listener.held(believed));
+        log("duty_taken", duty);
+        mListeners.forEach(listener -> listener.held(duty, former));
         mStatedMilliseconds = 0;
     }
 
     @Override
     public void renewed(HeldDuty duty) {
-        HeldDuty believed = believed(duty);
-        mListeners.forEach(listener -> listener.held(believed));
+        OptionalLong former = mFormer.get(duty.partition());
+        mListeners.forEach(listener -> listener.held(duty, former));
     }
 
     @Override
@@ -166,17 +152,20 @@
         mListeners.forEach(listener -> listener.lapsed(duty));
     }
 
-    /** A missing number of a former holder may only mean that it was not kept. */
-    private HeldDuty believed(HeldDuty duty) {
+    /**
+     * Returns the number of the holder before, as that holder told. That there was none is believed
+     * only right after the first start of the fleet.
+     */
+    private OptionalLong formerOf(HeldDuty duty) {
+        Holder known = mHolders.get(duty.partition());
+        if (known != null && known.fencing() < duty.fencing()) {
+            return OptionalLong.of(known.fencing());
+        }
         boolean firstStart =
                 mSettings.firstStart()
-                        && duty.since().toEpochMilli() - mStartedMilliseconds
-                                < FIRST_START_MILLISECONDS;
-        if (duty.former().isPresent() || firstStart) {
-            return duty;
-        }
-        return new HeldDuty(
-                duty.partition(), duty.fencing(), OptionalLong.of(0), duty.since(), duty.until());
+                        && known == null
+                        && mClock.millis() - mStartedMilliseconds < FIRST_START_MILLISECONDS;
+        return firstStart ? OptionalLong.empty() : OptionalLong.of(0);
     }
 
     private void state() {
@@ -186,8 +175,7 @@
             message.addHeld(
                     HeldDutyStatement.newBuilder()
                             .setPartition(duty.partition())
-                            .setFencing(duty.fencing())
-                            .setFormer(duty.former().orElse(0)));
+                            .setFencing(duty.fencing()));
         }
         if (message.getHeldCount() > 0) {
             DutiesMessage built = message.build();
@@ -219,7 +207,7 @@
         LogEvent.named(event)
                 .number("partition", duty.partition())
                 .number("fencing", duty.fencing())
-                .number("former", duty.former().orElse(0))
+                .number("former", mFormer.getOrDefault(duty.partition(), UNKNOWN).orElse(0))
                 .writeTo(LOGGER);
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
@@ -3,8 +3,10 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Clock;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.name.ClientAccountName;
@@ -29,10 +31,12 @@
     // A replaced process may outlive the start of its replacement by its time to stop.
     private static final long FLOOR_DELAY_MILLISECONDS = 10_000;
     private static final long GRANT_MILLISECONDS = 1_000;
-    private static final long LONGEST_WAIT_MILLISECONDS = 150;
+    private static final long LONGEST_WAIT_MILLISECONDS = 250;
+    // A client account sends one node a few requests a second: tokens held ahead would lapse.
+    private static final long PREFETCH_MILLISECONDS = 0;
 
     private final TokenLimiter mLimiter;
-    private final Map<Integer, HeldDuty> mHeld = new HashMap<>();
+    private final Map<Integer, Held> mHeld = new HashMap<>();
     private final Map<Integer, Elsewhere> mElsewhere = new HashMap<>();
     private Map<ClientAccountName, Integer> mPartitions = Map.of();
 
@@ -46,6 +50,7 @@
                                 settings.firstStart() ? 0 : FLOOR_DELAY_MILLISECONDS)
                         .grantMilliseconds(GRANT_MILLISECONDS)
                         .longestWaitMilliseconds(LONGEST_WAIT_MILLISECONDS)
+                        .prefetchMilliseconds(PREFETCH_MILLISECONDS)
                         .build();
         mLimiter =
                 GrantLimiter.create(
@@ -80,23 +85,20 @@
             }
         }
         mPartitions = partitions;
-        mHeld.values().forEach(this::held);
+        List.copyOf(mHeld.values()).forEach(held -> held(held.duty(), held.former()));
         mElsewhere.forEach((partition, where) -> tellElsewhere(partition, where));
     }
 
     @Override
-    public void held(HeldDuty duty) {
-        mHeld.put(duty.partition(), duty);
+    public void held(HeldDuty duty, OptionalLong former) {
+        mHeld.put(duty.partition(), new Held(duty, former));
         mElsewhere.remove(duty.partition());
         accountsOf(duty.partition())
                 .forEach(
                         account ->
                                 mLimiter.homeHeld(
                                         new HomeLease(
-                                                account,
-                                                duty.fencing(),
-                                                duty.until(),
-                                                duty.former())));
+                                                account, duty.fencing(), duty.until(), former)));
     }
 
     @Override
@@ -137,5 +139,7 @@
         }
     }
 
+    private record Held(HeldDuty duty, OptionalLong former) {}
+
     private record Elsewhere(NodeName node, long fencing) {}
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -185,9 +186,9 @@
     }
 
     @Override
-    public void held(HeldDuty duty) {
+    public void held(HeldDuty duty, OptionalLong former) {
         if (duty.partition() == DutyPartitions.ORDERS) {
-            boolean first = duty.former().isEmpty();
+            boolean first = former.isEmpty();
             Instant from = first ? duty.since() : duty.since().plus(mSettings.orderPause());
             mPlacement.lease(Optional.of(new OrderLease(duty.fencing(), from, duty.until())));
         }
--- a/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
+++ b/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
@@ -27,6 +27,8 @@
  * @param maximumWaiting most reservations of one client account that wait
  * @param maximumHolders most processes that one home node serves
  * @param messageLifetimeMilliseconds time after which no copy of a sent message can arrive
+ * @param prefetchMilliseconds time for which a node holds tokens ahead of requests; 0 asks the home
+ *     node for each request, which wastes nothing while a client account sends a node little
  */
 public record LimiterSettings(
         NodeName node,
@@ -41,7 +43,8 @@
         int maximumOpenReservations,
         int maximumWaiting,
         int maximumHolders,
-        long messageLifetimeMilliseconds) {
+        long messageLifetimeMilliseconds,
+        long prefetchMilliseconds) {
     /** Checks the ranges. */
     public LimiterSettings {
         Objects.requireNonNull(node, "node");
@@ -56,6 +59,7 @@
         requireInRange("maximumWaiting", maximumWaiting, 0, 1_000_000);
         requireInRange("maximumHolders", maximumHolders, 1, 100_000);
         requireInRange("messageLifetimeMilliseconds", messageLifetimeMilliseconds, 1, 86_400_000);
+        requireInRange("prefetchMilliseconds", prefetchMilliseconds, 0, 60_000);
     }
 
     /** Returns a builder with the defaults for a fleet of up to nine nodes. */
@@ -85,6 +89,7 @@
         private int mMaximumWaiting = 1_000;
         private int mMaximumHolders = 4_096;
         private long mMessageLifetimeMilliseconds = 600_000;
+        private long mPrefetchMilliseconds = 1_200;
 
         private Builder(NodeName node, long incarnation) {
             mNode = node;
@@ -157,6 +162,12 @@
             return this;
         }
 
+        /** Sets the time for which a node holds tokens ahead of requests, in milliseconds. */
+        public Builder prefetchMilliseconds(long milliseconds) {
+            mPrefetchMilliseconds = milliseconds;
+            return this;
+        }
+
         /** Returns the settings. */
         public LimiterSettings build() {
             return new LimiterSettings(
@@ -172,7 +183,8 @@
                     mMaximumOpenReservations,
                     mMaximumWaiting,
                     mMaximumHolders,
-                    mMessageLifetimeMilliseconds);
+                    mMessageLifetimeMilliseconds,
+                    mPrefetchMilliseconds);
         }
     }
 }
--- a/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
@@ -20,7 +20,6 @@
  * node has none or can't be reached, from the node's own floor.
  */
 final class AccountLimiter {
-    private static final long TARGET_MILLISECONDS = 1_200;
     private static final long MILLISECONDS_PER_SECOND = 1_000;
     private static final long LOW_DIVISOR = 4;
     private static final long REPORT_MILLISECONDS = 1_000;
@@ -91,9 +90,9 @@
         long deadline = nowMilliseconds + mSettings.longestWaitMilliseconds();
         if (mWaiting.isEmpty() && grantFromPool(tokens, decision)) {
             askWhenLow(nowMilliseconds);
-        } else if (mLink.isPaused(nowMilliseconds) && grantFromFloor(tokens, decision)) {
+        } else if (mLink.isPaused(tokens, nowMilliseconds) && grantFromFloor(tokens, decision)) {
             askWhenLow(nowMilliseconds);
-        } else if (!mLink.isHopeful() || mLink.pausedUntil() > deadline) {
+        } else if (!mLink.isHopeful() || isPausedBeyond(tokens, deadline, nowMilliseconds)) {
             decideFromFloor(tokens, decision, nowMilliseconds);
         } else {
             mWaiting.addLast(new WaitingReservation(tokens, deadline, decision));
@@ -146,8 +145,9 @@
         if (answer.getGrantedTokens() > 0) {
             mPauseMilliseconds = LEAST_PAUSE_MILLISECONDS;
             addGrant(answer, nowMilliseconds);
-            if (answer.getGrantedTokens() < mLink.wantedTokens()) {
-                mLink.pause(nowMilliseconds + SCARCE_PAUSE_MILLISECONDS);
+            boolean ahead = answer.getGrantedTokens() >= mWaitingTokens;
+            if (ahead && answer.getGrantedTokens() < mLink.wantedTokens()) {
+                mLink.pause(nowMilliseconds + SCARCE_PAUSE_MILLISECONDS, 1);
             }
         } else if (mLink.wantedTokens() > 0) {
             pause(answer.getRetryAfterMs(), nowMilliseconds);
@@ -175,7 +175,7 @@
         serveWaiting(nowMilliseconds);
         boolean worthReporting = mUnused.hasCollected() || mFloor.hasToLend(nowMilliseconds);
         if (worthReporting && nowMilliseconds - mLink.sentMilliseconds() >= REPORT_MILLISECONDS) {
-            ask(0, wanted(), nowMilliseconds);
+            ask(1, 0, wanted(), nowMilliseconds);
         }
         askWhenLow(nowMilliseconds);
     }
@@ -243,7 +243,12 @@
     private boolean isHopeless(WaitingReservation waiting, long nowMilliseconds) {
         return !mLink.isHopeful()
                 || nowMilliseconds >= waiting.deadlineMilliseconds()
-                || mLink.pausedUntil() > waiting.deadlineMilliseconds();
+                || isPausedBeyond(
+                        waiting.tokens(), waiting.deadlineMilliseconds(), nowMilliseconds);
+    }
+
+    private boolean isPausedBeyond(long tokens, long deadline, long nowMilliseconds) {
+        return mLink.isPaused(tokens, nowMilliseconds) && mLink.pausedUntil() > deadline;
     }
 
     private WaitingReservation removeFirst() {
@@ -254,18 +259,21 @@
 
     private void askForWaiting(long nowMilliseconds) {
         if (!mWaiting.isEmpty()) {
-            ask(mWaiting.getFirst().tokens() - mPool.tokens(), wanted(), nowMilliseconds);
+            long first = mWaiting.getFirst().tokens();
+            ask(first, first - mPool.tokens(), wanted(), nowMilliseconds);
         }
     }
 
     private void askWhenLow(long nowMilliseconds) {
         if (mPool.tokens() < target() / LOW_DIVISOR) {
-            ask(1, wanted(), nowMilliseconds);
+            ask(1, 1, wanted(), nowMilliseconds);
         }
     }
 
-    private void ask(long minimumTokens, long wantedTokens, long nowMilliseconds) {
-        if (mLink.mayAsk(nowMilliseconds)) {
+    /** Asks the home node, unless it has said that it has nothing for requests of this size yet. */
+    private void ask(
+            long requestTokens, long minimumTokens, long wantedTokens, long nowMilliseconds) {
+        if (mLink.mayAsk(requestTokens, nowMilliseconds)) {
             send(minimumTokens, wantedTokens, nowMilliseconds);
         }
     }
@@ -281,7 +289,9 @@
     }
 
     private long target() {
-        return mDemand.tokensPerSecond() * TARGET_MILLISECONDS / MILLISECONDS_PER_SECOND;
+        return mDemand.tokensPerSecond()
+                * mSettings.prefetchMilliseconds()
+                / MILLISECONDS_PER_SECOND;
     }
 
     private long wanted() {
@@ -301,7 +311,8 @@
 
     private void pause(long retryAfterMilliseconds, long nowMilliseconds) {
         long pause = Math.max(mPauseMilliseconds, retryAfterMilliseconds);
-        mLink.pause(nowMilliseconds + Math.min(MOST_PAUSE_MILLISECONDS, pause));
+        long refusedTokens = mWaiting.isEmpty() ? 1 : mWaiting.getFirst().tokens();
+        mLink.pause(nowMilliseconds + Math.min(MOST_PAUSE_MILLISECONDS, pause), refusedTokens);
         mPauseMilliseconds = Math.min(MOST_PAUSE_MILLISECONDS, 2 * mPauseMilliseconds);
     }
 
--- a/limits/src/main/java/org/foxtailridge/limits/grant/HomeLink.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/HomeLink.java
@@ -21,6 +21,7 @@
     private long mNumber;
     private long mSentMilliseconds = Long.MIN_VALUE / 2;
     private long mPausedUntilMilliseconds;
+    private long mPausedFromTokens;
     private long mWantedTokens;
     private boolean mPending;
     private int mFailures;
@@ -60,21 +61,28 @@
         return mPending;
     }
 
-    /** Returns whether the home node has said that it has nothing until a later instant. */
-    boolean isPaused(long nowMilliseconds) {
-        return nowMilliseconds < mPausedUntilMilliseconds;
+    /** Returns whether the home node has said that it has not as many tokens until later. */
+    boolean isPaused(long tokens, long nowMilliseconds) {
+        return nowMilliseconds < mPausedUntilMilliseconds && tokens >= mPausedFromTokens;
     }
 
     long pausedUntil() {
         return mPausedUntilMilliseconds;
     }
 
-    void pause(long untilMilliseconds) {
+    /**
+     * Asks nothing for some time.
+     *
+     * @param untilMilliseconds end of that time
+     * @param fromTokens least tokens of a request that there was not enough for
+     */
+    void pause(long untilMilliseconds, long fromTokens) {
         mPausedUntilMilliseconds = untilMilliseconds;
+        mPausedFromTokens = fromTokens;
     }
 
-    boolean mayAsk(long nowMilliseconds) {
-        if (mHome == null || mPending || isPaused(nowMilliseconds)) {
+    boolean mayAsk(long tokens, long nowMilliseconds) {
+        if (mHome == null || mPending || isPaused(tokens, nowMilliseconds)) {
             return false;
         }
         return isHopeful() || nowMilliseconds - mSentMilliseconds >= PROBE_MILLISECONDS;
--- a/membership/src/main/java/org/foxtailridge/membership/group/DutyGroup.java
+++ b/membership/src/main/java/org/foxtailridge/membership/group/DutyGroup.java
@@ -16,7 +16,4 @@
 
     /** Leaves the group. */
     CompletableFuture<Void> leave(String member);
-
-    /** Keeps a number beside a partition that the member holds. */
-    CompletableFuture<Void> commit(String member, long generation, int partition, long number);
 }
--- a/membership/src/main/java/org/foxtailridge/membership/group/GroupAnswer.java
+++ b/membership/src/main/java/org/foxtailridge/membership/group/GroupAnswer.java
@@ -1,16 +1,16 @@
 package org.foxtailridge.membership.group;
 
-import java.util.List;
+import java.util.Set;
 
 /**
  * Answer of the group to a join.
  *
  * @param generation number that grows with each change of the group
- * @param partitions partitions that belong to the member in this generation
+ * @param partitions numbers of the partitions that belong to the member in this generation
  */
-public record GroupAnswer(long generation, List<GroupPartition> partitions) {
-    /** Copies the list. */
+public record GroupAnswer(long generation, Set<Integer> partitions) {
+    /** Copies the set. */
     public GroupAnswer {
-        partitions = List.copyOf(partitions);
+        partitions = Set.copyOf(partitions);
     }
 }
--- a/membership/src/main/java/org/foxtailridge/membership/group/GroupDuties.java
+++ b/membership/src/main/java/org/foxtailridge/membership/group/GroupDuties.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -131,39 +131,25 @@
         }
     }
 
-    private void giveUpUnlisted(List<GroupPartition> listed) {
+    private void giveUpUnlisted(Set<Integer> listed) {
         for (HeldDuty duty : List.copyOf(mHeld.values())) {
-            boolean kept =
-                    listed.stream()
-                            .anyMatch(partition -> partition.partition() == duty.partition());
-            if (!kept) {
+            if (!listed.contains(duty.partition())) {
                 lose(duty);
             }
         }
     }
 
-    private void hold(GroupPartition partition, Instant now, Instant until) {
-        HeldDuty held = mHeld.get(partition.partition());
+    private void hold(int partition, Instant now, Instant until) {
+        HeldDuty held = mHeld.get(partition);
         if (held != null) {
             HeldDuty renewed = held.renewed(until);
-            mHeld.put(partition.partition(), renewed);
+            mHeld.put(partition, renewed);
             mOutbox.renewed(renewed);
             return;
         }
-        HeldDuty taken =
-                new HeldDuty(partition.partition(), mGeneration, former(partition), now, until);
-        mHeld.put(partition.partition(), taken);
+        HeldDuty taken = new HeldDuty(partition, mGeneration, now, until);
+        mHeld.put(partition, taken);
         mOutbox.taken(taken);
-        mOutbox.commit(taken);
-    }
-
-    /** Returns the number of the holder before; this node itself when it had only lapsed. */
-    private OptionalLong former(GroupPartition partition) {
-        boolean known = partition.committed() > 0 && partition.committed() < mGeneration;
-        if (known) {
-            return OptionalLong.of(partition.committed());
-        }
-        return partition.committed() == 0 ? OptionalLong.empty() : OptionalLong.of(0);
     }
 
     private void lose(HeldDuty duty) {
--- a/membership/src/main/java/org/foxtailridge/membership/group/GroupOutbox.java
+++ b/membership/src/main/java/org/foxtailridge/membership/group/GroupOutbox.java
@@ -11,9 +11,6 @@
      */
     void join(long join, long generation);
 
-    /** Keeps the fencing number of this holder beside a partition, for the next one. */
-    void commit(HeldDuty duty);
-
     /** Leaves the group, so that its duties pass on at once. */
     void leaveGroup();
 
--- a/membership/src/main/java/org/foxtailridge/membership/group/HeldDuty.java
+++ b/membership/src/main/java/org/foxtailridge/membership/group/HeldDuty.java
@@ -1,20 +1,17 @@
 package org.foxtailridge.membership.group;
 
 import java.time.Instant;
-import java.util.OptionalLong;
 
 /**
  * A duty that this node may do.
  *
  * @param partition partition of the group that stands for the duty
  * @param fencing generation in which this node took the duty; grows with each holder
- * @param former fencing number of the holder before; empty when there was none ever
  * @param since instant, by the clock of this node, at which it took the duty
  * @param until instant, by the clock of this node, from which it may not act any more
  */
-public record HeldDuty(
-        int partition, long fencing, OptionalLong former, Instant since, Instant until) {
+public record HeldDuty(int partition, long fencing, Instant since, Instant until) {
     HeldDuty renewed(Instant newUntil) {
-        return new HeldDuty(partition, fencing, former, since, newUntil);
+        return new HeldDuty(partition, fencing, since, newUntil);
     }
 }
