--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/AdapterBeliefs.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/AdapterBeliefs.java
@@ -12,6 +12,9 @@
  * since. Announcements lag behind orders, so that a correction counts for a while.
  */
 final class AdapterBeliefs {
+    /** Stands for the model itself in place of an adapter. */
+    static final String MODEL_ITSELF = "";
+
     private final long mCorrectionMilliseconds;
     private final Map<String, Map<Adapter, Correction>> mCorrections = new HashMap<>();
 
@@ -27,6 +30,11 @@
                 .put(new Adapter(model, adapter), new Correction(start, resident, now));
     }
 
+    /** Returns whether the giver of orders has said that a model leaves. */
+    boolean isLeaving(String engine, long start, String model, long now) {
+        return of(engine, start, model, List.of(MODEL_ITSELF), now).isEmpty();
+    }
+
     void forget(String engine) {
         mCorrections.remove(engine);
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -53,6 +53,8 @@
     private static final double MILLISECONDS_PER_PROMPT_TOKEN = 0.026;
     private static final double MILLISECONDS_PER_RUNNING_REQUEST = 0.3;
     private static final double BETWEEN_TOKENS_MILLISECONDS = 45;
+    // The message to the giver of orders, the order, the load, and the word back.
+    private static final double ADAPTER_FETCH_MILLISECONDS = 40;
 
     private final ForwardingSettings mSettings;
     private final EventLoop mLoop;
@@ -242,6 +244,7 @@
                 .millisecondsPerPromptToken(MILLISECONDS_PER_PROMPT_TOKEN)
                 .millisecondsPerRunningRequest(MILLISECONDS_PER_RUNNING_REQUEST)
                 .betweenTokensMilliseconds(BETWEEN_TOKENS_MILLISECONDS)
+                .adapterFetchMilliseconds(ADAPTER_FETCH_MILLISECONDS)
                 .build();
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
@@ -152,7 +152,7 @@
                     .text("address", current.address())
                     .text("draining", current.draining())
                     .number("start", current.startMilliseconds())
-                    .number("orders", current.ordersAccepted())
+                    .number("entry", current.entryNumber())
                     .text("models", current.models())
                     .writeTo(LOGGER);
             configureQueue();
@@ -225,6 +225,9 @@
         List<Resident> residents = new ArrayList<>();
         for (HeldModel model : endpoint.models()) {
             String name = RequestTargets.modelName(endpoint.service(), model.name());
+            if (mAdapters.isLeaving(endpoint.id(), endpoint.startMilliseconds(), name, now)) {
+                continue;
+            }
             residents.add(Resident.model(name, Long.toString(model.version())));
             mAdapters
                     .of(endpoint.id(), endpoint.startMilliseconds(), name, model.adapters(), now)
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
@@ -58,7 +58,8 @@
     private static final Logger LOGGER = LogManager.getLogger(NodePlacement.class);
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
-    private static final long REPORT_MILLISECONDS = 300;
+    // Reports are some hundred milliseconds old, so that asking more often brings nothing.
+    private static final long ASK_PAUSE_MILLISECONDS = 100;
     private static final long DEMAND_MILLISECONDS = 300;
     private static final long ADAPTER_WAIT_MILLISECONDS = 350;
 
@@ -71,12 +72,11 @@
     private final DatagramNetwork mNetwork;
     private final AnnouncedPlacement mPlacement;
     private final Map<AdapterKey, List<Preparation>> mPreparations = new HashMap<>();
-    private final Set<String> mOrdered = new HashSet<>();
     private final Set<String> mAsked = new HashSet<>();
+    private final Map<String, Long> mAskedMilliseconds = new HashMap<>();
     private NodeEndpoints mEndpoints;
     private ForwardedDemand mDemand;
     private long mDemandMilliseconds;
-    private long mReportMilliseconds;
 
     NodePlacement(
             ForwardingSettings settings,
@@ -117,10 +117,6 @@
             mDemandMilliseconds = now;
             tellDemand();
         }
-        if (now - mReportMilliseconds >= REPORT_MILLISECONDS) {
-            mReportMilliseconds = now;
-            askOrdered();
-        }
         mPlacement.tick();
     }
 
@@ -155,9 +151,6 @@
             mLoop.execute(() -> mPlacement.answered(order.number(), ModelOrderAnswer.NOT_SENT));
             return;
         }
-        if (order.adapter().isEmpty()) {
-            mOrdered.add(order.engine());
-        }
         String model = order.model().substring(engine.get().service().length() + 1);
         mEngines.order(engine.get(), model, order, mSettings.label(), ORDER_TIMEOUT)
                 .thenAccept(answer -> mPlacement.answered(order.number(), answer));
@@ -179,9 +172,13 @@
         onResidence(residence);
     }
 
+    @Override
+    public void modelLeaves(String engine, long engineStart, String model) {
+        adapterResident(engine, engineStart, model, AdapterBeliefs.MODEL_ITSELF, false);
+    }
+
     @Override
     public void askReport(String engine) {
-        mOrdered.add(engine);
         ask(engine);
     }
 
@@ -203,7 +200,6 @@
     public void lapsed(HeldDuty duty) {
         if (duty.partition() == DutyPartitions.ORDERS) {
             mPlacement.lease(Optional.empty());
-            mOrdered.clear();
         }
     }
 
@@ -217,8 +213,8 @@
         mPlacement.engine(
                 view(
                         current,
-                        current.ordersAccepted(),
-                        Optional.empty(),
+                        OptionalLong.empty(),
+                        false,
                         current.models(),
                         current.inHostMemory(),
                         current.onDisk()));
@@ -227,7 +223,7 @@
     @Override
     public void gone(EndpointAnnouncement former) {
         mPlacement.engineGone(former.id());
-        mOrdered.remove(former.id());
+        mAskedMilliseconds.remove(former.id());
     }
 
     private void ask(AdapterKey key) {
@@ -353,18 +349,14 @@
         return demand.requestsPerSecond() > 0;
     }
 
-    /** Asks engines that carry out orders what they hold. */
-    private void askOrdered() {
-        if (mDuties.held(DutyPartitions.ORDERS).isPresent()) {
-            Set.copyOf(mOrdered).forEach(this::ask);
-        }
-    }
-
     private void ask(String engine) {
         Optional<EndpointAnnouncement> found = mEndpoints.find(EndpointName.of(engine));
-        if (found.isEmpty() || !mAsked.add(engine)) {
+        long now = mClock.millis();
+        boolean lately = now - mAskedMilliseconds.getOrDefault(engine, 0L) < ASK_PAUSE_MILLISECONDS;
+        if (found.isEmpty() || lately || !mAsked.add(engine)) {
             return;
         }
+        mAskedMilliseconds.put(engine, now);
         mEngines.report(found.get(), REPORT_TIMEOUT)
                 .whenComplete(
                         (report, failure) -> {
@@ -385,20 +377,18 @@
         mPlacement.engine(
                 view(
                         engine,
-                        report.ordersAccepted(),
-                        Optional.of(report.busy()),
+                        OptionalLong.of(report.ordersAccepted()),
+                        report.busy(),
                         report.models(),
                         report.inHostMemory(),
                         report.onDisk()));
-        if (!report.busy()) {
-            mOrdered.remove(engine.id());
-        }
+        mPlacement.tick();
     }
 
     private static EngineView view(
             EndpointAnnouncement engine,
-            long orders,
-            Optional<Boolean> busy,
+            OptionalLong orders,
+            boolean busy,
             List<HeldModel> models,
             List<String> inHostMemory,
             List<String> onDisk) {
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AdapterDesk.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AdapterDesk.java
@@ -54,10 +54,10 @@
             waiting.pollFirst();
             return Optional.of(new Step(true, first.model(), first.adapter()));
         }
-        return victim(engine, demands);
+        return victim(engine, demands, now);
     }
 
-    private static Optional<Step> victim(EngineState engine, ModelDemands demands) {
+    private static Optional<Step> victim(EngineState engine, ModelDemands demands, long now) {
         Comparator<Candidate> leastMissed =
                 Comparator.comparingDouble(Candidate::demand)
                         .thenComparingLong(Candidate::usedMilliseconds);
@@ -65,6 +65,10 @@
                 .flatMap(
                         model ->
                                 engine.adapters(model).entrySet().stream()
+                                        .filter(
+                                                entry ->
+                                                        !engine.isAdapterInUse(
+                                                                model, entry.getKey(), now))
                                         .map(
                                                 entry ->
                                                         new Candidate(
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
@@ -99,6 +99,7 @@
         if (other) {
             // The holder before may have begun loads a moment ago.
             mStores.values().forEach(StoreLoads::empty);
+            mEngines.values().forEach(EngineState::forgetOrders);
         }
         mLease = lease;
     }
@@ -138,6 +139,10 @@
         if (!mayOrder()) {
             return;
         }
+        mEngines.values().stream()
+                .filter(EngineState::isUnsettled)
+                .filter(engine -> mPools.containsKey(engine.view().service()))
+                .forEach(engine -> mOutbox.askReport(engine.name()));
         mEngines.values().forEach(this::orderAdapters);
         if (now - mPlannedMilliseconds >= mSettings.planInterval().toMillis()) {
             mPlannedMilliseconds = now;
@@ -197,13 +202,16 @@
                         load,
                         model,
                         adapter,
-                        state.orders(),
+                        state.orders().orElseThrow(),
                         lease.fencing());
         state.sent(order, mClock.millis());
         if (adapter.isPresent() && !load) {
             mOutbox.adapterResident(
                     state.name(), state.view().start(), model, adapter.get(), false);
         }
+        if (adapter.isEmpty() && !load) {
+            mOutbox.modelLeaves(state.name(), state.view().start(), model);
+        }
         LogEvent.named("order_sent")
                 .text("endpoint", state.name())
                 .text("action", load ? "load" : "unload")
@@ -240,7 +248,7 @@
                             order.adapter().get(),
                             now + mSettings.adapterLoadTime().toMillis()));
         }
-        if (answer != ModelOrderAnswer.ACCEPTED && answer != ModelOrderAnswer.HOLDS) {
+        if (state.orders().isEmpty()) {
             mOutbox.askReport(state.name());
         }
         orderAdapters(state);
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementOutbox.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementOutbox.java
@@ -16,6 +16,9 @@
     void adapterResident(
             String engine, long engineStart, String model, String adapter, boolean resident);
 
-    /** Asks an engine what it holds now. */
+    /** Tells all nodes that an engine is about to drop a model. */
+    void modelLeaves(String engine, long engineStart, String model);
+
+    /** Asks an engine what it holds now, unless it is being asked already. */
     void askReport(String engine);
 }
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -143,7 +143,7 @@
             }
             victims.add(victim);
             missing -= mPool.model(victim).map(ModelSize::megabytes).orElse(0.0);
-            lost += mDemands.of(victim) / Math.max(1, copies(victim)) + 1;
+            lost += loadPerCopy(victim) + 1.0 / Math.max(1, copies(victim));
         }
         if (missing > 0) {
             return Optional.empty();
@@ -159,7 +159,8 @@
                 .filter(model -> mayGo(model, urgent, want))
                 .sorted(
                         Comparator.<String>comparingInt(model -> copies(model) > 1 ? 0 : 1)
-                                .thenComparingDouble(this::loadPerCopy))
+                                .thenComparingDouble(this::loadPerCopy)
+                                .thenComparingInt(model -> -copies(model)))
                 .toList();
     }
 
--- a/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -17,21 +18,27 @@
  * it can't be carried out any more.
  */
 final class EngineState {
+    // Announcements come every second or so and lag; reports are some hundred milliseconds old.
+    private static final long ANNOUNCEMENT_LAG_MILLISECONDS = 3_000;
+    private static final long ADAPTER_IN_USE_MILLISECONDS = 400;
+
     private final String mName;
-    private EngineView mView;
-    private long mOrders;
     private final Map<String, Map<String, Long>> mHeld = new LinkedHashMap<>();
+    private final Map<String, Long> mAdaptersInUse = new HashMap<>();
+    private final List<Doubt> mDoubts = new ArrayList<>();
+    private EngineView mView;
+    private OptionalLong mOrders = OptionalLong.empty();
     private ModelOrder mInFlight;
     private long mInFlightSince;
-    private final List<Doubt> mDoubts = new ArrayList<>();
     private String mLoading;
     private String mUnloading;
-    private boolean mCountDoubtful;
+    private long mOrderedMilliseconds = Long.MIN_VALUE / 2;
     private long mRestartedMilliseconds = Long.MIN_VALUE / 2;
 
     EngineState(EngineView view) {
         mName = view.engine();
         mView = view;
+        mOrders = view.ordersAccepted();
         adopt(view);
     }
 
@@ -43,49 +50,40 @@
         return mView;
     }
 
-    /** Takes what the engine says; older statements change nothing. */
+    /** Takes what the engine says; what is older than an accepted order changes nothing. */
     void update(EngineView view, long now) {
-        if (view.start() > mView.start()) {
-            restart(view, now);
-            return;
-        }
         if (view.start() < mView.start()) {
             return;
         }
-        boolean asked = mCountDoubtful && view.busy().isPresent();
-        boolean current = view.ordersAccepted() >= mOrders || asked;
-        mCountDoubtful &= !asked;
-        mView = current ? view : withUsable(view.usable());
-        if (current) {
-            resolveDoubts(view);
-            adopt(view);
+        if (view.start() > mView.start()) {
+            restart(view, now);
+        } else if (view.ordersAccepted().isPresent()) {
+            takeReport(view);
+        } else {
+            takeAnnouncement(view, now);
         }
     }
 
-    /** Drops orders that can't be carried out any more; the one that may have been is charged. */
-    private void resolveDoubts(EngineView view) {
-        for (Doubt doubt : List.copyOf(mDoubts)) {
-            if (doubt.expectedOrders() < view.ordersAccepted()) {
-                mDoubts.remove(doubt);
-                boolean maybeUnderWay = doubt.expectedOrders() == view.ordersAccepted() - 1;
-                if (maybeUnderWay && doubt.order().adapter().isEmpty()) {
-                    mLoading = doubt.order().load() ? doubt.order().model() : mLoading;
-                }
-            }
+    private void takeReport(EngineView view) {
+        long orders = view.ordersAccepted().getAsLong();
+        if (mOrders.isPresent() && orders < mOrders.getAsLong()) {
+            return;
         }
+        resolveDoubts(view, orders);
+        mOrders = view.ordersAccepted();
+        mView = view.withUsable(mView.usable());
+        adopt(view);
     }
 
-    private EngineView withUsable(boolean usable) {
-        return new EngineView(
-                mView.engine(),
-                mView.service(),
-                mView.start(),
-                usable,
-                mView.ordersAccepted(),
-                mView.busy(),
-                mView.adapters(),
-                mView.inHostMemory(),
-                mView.onDisk());
+    private void takeAnnouncement(EngineView view, long now) {
+        boolean current = now - mOrderedMilliseconds > ANNOUNCEMENT_LAG_MILLISECONDS;
+        boolean settled = mInFlight == null && mLoading == null && mUnloading == null;
+        if (current && settled) {
+            mView = view;
+            adopt(view);
+        } else {
+            mView = mView.withUsable(view.usable());
+        }
     }
 
     private void restart(EngineView view, long now) {
@@ -93,15 +91,29 @@
         mInFlight = null;
         mLoading = null;
         mUnloading = null;
-        mCountDoubtful = false;
+        mOrders = view.ordersAccepted();
         mHeld.clear();
+        mAdaptersInUse.clear();
         mView = view;
         adopt(view);
     }
 
+    /** Drops orders that can't be carried out any more; the one that may have been is charged. */
+    private void resolveDoubts(EngineView view, long orders) {
+        for (Doubt doubt : List.copyOf(mDoubts)) {
+            long expected = doubt.order().expectedOrders();
+            if (expected < orders) {
+                mDoubts.remove(doubt);
+                boolean maybeUnderWay = view.busy() && expected == orders - 1;
+                if (maybeUnderWay && doubt.order().adapter().isEmpty()) {
+                    mLoading = doubt.order().load() ? doubt.order().model() : mLoading;
+                }
+            }
+        }
+    }
+
     private void adopt(EngineView view) {
-        boolean settled = view.busy().isPresent() && !view.busy().get();
-        mOrders = view.ordersAccepted();
+        boolean settled = view.ordersAccepted().isPresent() && !view.busy();
         if (mLoading != null && (settled || view.adapters().containsKey(mLoading))) {
             mLoading = null;
         }
@@ -112,20 +124,28 @@
         mHeld.clear();
         view.adapters()
                 .forEach(
-                        (model, adapters) -> {
-                            Map<String, Long> uses = new LinkedHashMap<>();
-                            Map<String, Long> before = former.getOrDefault(model, Map.of());
-                            adapters.forEach(
-                                    adapter -> uses.put(adapter, before.getOrDefault(adapter, 0L)));
-                            mHeld.put(model, uses);
-                        });
+                        (model, adapters) ->
+                                mHeld.put(
+                                        model,
+                                        uses(adapters, former.getOrDefault(model, Map.of()))));
+    }
+
+    private static Map<String, Long> uses(List<String> adapters, Map<String, Long> former) {
+        Map<String, Long> uses = new LinkedHashMap<>();
+        adapters.forEach(adapter -> uses.put(adapter, former.getOrDefault(adapter, 0L)));
+        return uses;
     }
 
-    /** Returns the number of orders that the engine is known to have accepted. */
-    long orders() {
+    /** Returns the orders that the engine has accepted; empty until it was asked. */
+    OptionalLong orders() {
         return mOrders;
     }
 
+    /** Forgets the number of orders: another node may have given some. */
+    void forgetOrders() {
+        mOrders = OptionalLong.empty();
+    }
+
     boolean holds(String model) {
         return mHeld.containsKey(model);
     }
@@ -138,6 +158,7 @@
         return mHeld.getOrDefault(model, Map.of()).containsKey(adapter);
     }
 
+    /** Returns the adapters of a model in memory, with the instants at which they were wanted. */
     Map<String, Long> adapters(String model) {
         return mHeld.getOrDefault(model, Map.of());
     }
@@ -153,16 +174,22 @@
         }
     }
 
+    /** Returns whether requests were using an adapter a moment ago, so that it can't be dropped. */
+    boolean isAdapterInUse(String model, String adapter, long now) {
+        Long refused = mAdaptersInUse.get(model + ':' + adapter);
+        return refused != null && now - refused < ADAPTER_IN_USE_MILLISECONDS;
+    }
+
     /** Returns whether the engine serves a model and is not about to drop it. */
     boolean serves(String model) {
-        return mView.usable() && holds(model) && !model.equals(mUnloading);
+        return mView.usable() && holds(model) && !isUnloading(model);
     }
 
     boolean isLoading(String model) {
         return model.equals(mLoading) || isOrdered(model, true);
     }
 
-    boolean isUnloading(String model) {
+    private boolean isUnloading(String model) {
         return model.equals(mUnloading) || isOrdered(model, false);
     }
 
@@ -175,13 +202,18 @@
 
     /** Returns whether a model order may be sent now. */
     boolean isIdle() {
-        boolean saysBusy = mView.busy().orElse(false);
-        return mInFlight == null && mLoading == null && mUnloading == null && !saysBusy;
+        return mayOrderAdapter() && mLoading == null && mUnloading == null && !mView.busy();
+    }
+
+    /** Returns whether the engine is to be asked what it holds. */
+    boolean isUnsettled() {
+        boolean carriesOut = mLoading != null || mUnloading != null || mView.busy();
+        return mInFlight == null && (mOrders.isEmpty() || carriesOut);
     }
 
     /** Returns whether an adapter order may be sent now. */
     boolean mayOrderAdapter() {
-        return mInFlight == null;
+        return mInFlight == null && mOrders.isPresent();
     }
 
     boolean hasRestartedWithin(long milliseconds, long now) {
@@ -199,6 +231,7 @@
     void sent(ModelOrder order, long now) {
         mInFlight = order;
         mInFlightSince = now;
+        mOrderedMilliseconds = now;
     }
 
     /** Takes the answer to the order in flight. */
@@ -208,9 +241,11 @@
         switch (answer) {
             case ACCEPTED -> accepted(order, now);
             case HOLDS -> held(order, now);
-            case LOST -> mDoubts.add(new Doubt(order, now));
-            // The count of orders was wrong, so that the next report of the engine replaces it.
-            case CONFLICT, REFUSED -> mCountDoubtful = true;
+            case LOST -> {
+                mDoubts.add(new Doubt(order, now));
+                mOrders = OptionalLong.empty();
+            }
+            case CONFLICT, REFUSED -> refused(order, now);
             case NOT_SENT -> {}
             default -> throw new IllegalArgumentException("unknown answer " + answer);
         }
@@ -243,7 +278,7 @@
     }
 
     private void accepted(ModelOrder order, long now) {
-        mOrders = Math.max(mOrders, order.expectedOrders() + 1);
+        mOrders = OptionalLong.of(order.expectedOrders() + 1);
         if (order.adapter().isPresent()) {
             changeAdapter(order, now);
         } else if (order.load()) {
@@ -253,12 +288,19 @@
         }
     }
 
+    /** Only some orders that hold already count as accepted, so that the engine is asked. */
     private void held(ModelOrder order, long now) {
+        mOrders = OptionalLong.empty();
         if (order.adapter().isPresent()) {
             changeAdapter(order, now);
-            if (!order.load()) {
-                mOrders = Math.max(mOrders, order.expectedOrders() + 1);
-            }
+        }
+    }
+
+    /** Either the number of orders was wrong, or requests use what was to be dropped. */
+    private void refused(ModelOrder order, long now) {
+        mOrders = OptionalLong.empty();
+        if (order.adapter().isPresent() && !order.load()) {
+            mAdaptersInUse.put(order.model() + ':' + order.adapter().get(), now);
         }
     }
 
@@ -296,9 +338,5 @@
     }
 
     /** An order without an answer. */
-    private record Doubt(ModelOrder order, long sentMilliseconds) {
-        long expectedOrders() {
-            return order.expectedOrders();
-        }
-    }
+    private record Doubt(ModelOrder order, long sentMilliseconds) {}
 }
--- a/placement/src/main/java/org/foxtailridge/placement/announced/EngineView.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/EngineView.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -13,8 +13,9 @@
  * @param service name of its service
  * @param start instant of its process's start, in milliseconds since the epoch
  * @param usable whether it takes work
- * @param ordersAccepted orders that it has accepted since its start
- * @param busy whether it carries out an order; empty when it does not say
+ * @param ordersAccepted orders that it has accepted since its start; empty in an announcement,
+ *     which does not say and may be seconds old
+ * @param busy whether it carries out an order; false in an announcement
  * @param adapters names of the adapters in memory, by name of the model in memory
  * @param inHostMemory models whose weights lie in its host memory
  * @param onDisk models whose weights lie on its disk
@@ -24,8 +25,8 @@
         String service,
         long start,
         boolean usable,
-        long ordersAccepted,
-        Optional<Boolean> busy,
+        OptionalLong ordersAccepted,
+        boolean busy,
         Map<String, List<String>> adapters,
         Set<String> inHostMemory,
         Set<String> onDisk) {
@@ -33,9 +34,22 @@
     public EngineView {
         Objects.requireNonNull(engine, "engine");
         Objects.requireNonNull(service, "service");
-        Objects.requireNonNull(busy, "busy");
+        Objects.requireNonNull(ordersAccepted, "ordersAccepted");
         adapters = Map.copyOf(adapters);
         inHostMemory = Set.copyOf(inHostMemory);
         onDisk = Set.copyOf(onDisk);
     }
+
+    EngineView withUsable(boolean takesWork) {
+        return new EngineView(
+                engine,
+                service,
+                start,
+                takesWork,
+                ordersAccepted,
+                busy,
+                adapters,
+                inHostMemory,
+                onDisk);
+    }
 }
