--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -102,7 +102,7 @@
     }
 
     /** Ends the requests whose keys a new configuration does not hold any more. */
-    public void configurationChanged(ForwardingConfiguration configuration) {
+    public void endWithdrawn(ForwardingConfiguration configuration) {
         for (ForwardedRequest request : List.copyOf(mRequests.values())) {
             RequestTerms terms = request.terms();
             boolean keyed = terms.account().isPresent();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -184,7 +184,9 @@
         mEndpoints.configurationChanged(current);
         mPlacement.configurationChanged(current);
         mLimits.configurationChanged(former, current);
-        mForwarder.configurationChanged(current);
+        if (mSettings.cutsWithdrawnKeys()) {
+            mForwarder.endWithdrawn(current);
+        }
     }
 
     @Override
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingSettings.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingSettings.java
@@ -20,6 +20,7 @@
  * @param inner where other nodes send datagrams
  * @param seeds some other nodes, which may be gone
  * @param retries budget of retries of the fleet
+ * @param cutsWithdrawnKeys whether requests under way end when their key is withdrawn
  * @param orderPause time between the last order of one node and the first of another
  * @param stopTime time from the word to stop until the process is killed
  * @param loggedRequestsPerSecond requests a second whose lines are written
@@ -34,6 +35,7 @@
         InetSocketAddress inner,
         List<NodeName> seeds,
         FleetRetrySettings retries,
+        boolean cutsWithdrawnKeys,
         Duration orderPause,
         Duration stopTime,
         int loggedRequestsPerSecond) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
@@ -206,7 +206,8 @@
         }
         long now = mClock.millis();
         int total = inFlight(endpoint) + mLoad.at(endpoint.id(), now);
-        int running = Math.min(total, service.get().engines().get().slots());
+        int slots = service.get().engines().get().slots();
+        int running = Math.min(total, slots);
         mScheduler.loadReported(
                 EndpointName.of(endpoint.id()),
                 new LoadReport(
@@ -218,7 +219,8 @@
                         0,
                         EngineRole.BOTH,
                         endpoint.draining(),
-                        residents(endpoint, now)));
+                        residents(endpoint, now),
+                        slots));
     }
 
     private List<Resident> residents(EndpointAnnouncement endpoint, long now) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.foxtailridge.core.log.LogEvent;
 import org.foxtailridge.core.name.ClientAccountName;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.forwarding.configuration.ForwardingAccount;
@@ -75,6 +76,10 @@
             if (account.isLimited()) {
                 ClientAccountName name = ClientAccountName.of(account.name());
                 partitions.put(name, DutyPartitions.homeOf(name));
+                if (former.flatMap(known -> known.account(account.name())).stream()
+                        .noneMatch(account::equals)) {
+                    log(account, current.version());
+                }
                 mLimiter.limitChanged(
                         name, TokenLimit.of(account.ratePerSecond(), Math.max(1, account.burst())));
             }
@@ -131,6 +136,15 @@
                 .toList();
     }
 
+    private static void log(ForwardingAccount account, long version) {
+        LogEvent.named("limit_changed")
+                .text("account", account.name())
+                .number("rate_per_second", account.ratePerSecond())
+                .number("burst", account.burst())
+                .number("configuration", version)
+                .writeTo(LOGGER);
+    }
+
     private void receive(NodeName sender, byte[] payload) {
         try {
             mLimiter.receive(sender, LimitsMessage.parseFrom(payload));
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
@@ -270,14 +270,11 @@
                 residence.getModel(),
                 residence.getAdapter(),
                 residence.getResident());
-        if (!residence.getResident()) {
-            return;
-        }
         AdapterKey key =
                 new AdapterKey(
                         residence.getEndpoint(), residence.getModel(), residence.getAdapter());
         for (Preparation preparation : List.copyOf(mPreparations.getOrDefault(key, List.of()))) {
-            end(key, preparation, true);
+            end(key, preparation, residence.getResident());
         }
     }
 
--- a/node/src/main/java/org/foxtailridge/node/settings/ForwardingSettingsFile.java
+++ b/node/src/main/java/org/foxtailridge/node/settings/ForwardingSettingsFile.java
@@ -77,6 +77,11 @@
                     100,
                     DAY_MILLISECONDS,
                     "Time over which retries are counted.");
+    private static final Setting CUT_WITHDRAWN =
+            Setting.flag(
+                    "keys.cut_withdrawn",
+                    true,
+                    "Whether requests under way end when their key is withdrawn.");
     private static final Setting ORDER_PAUSE =
             Setting.number(
                     "orders.pause_milliseconds",
@@ -109,6 +114,7 @@
                     RETRY_SHARE,
                     RETRY_ALLOWANCE,
                     RETRY_WINDOW,
+                    CUT_WITHDRAWN,
                     ORDER_PAUSE,
                     LOGGED_REQUESTS);
 
@@ -145,6 +151,7 @@
                         Duration.ofMillis(mFile.number(RETRY_WINDOW)),
                         mFile.decimal(RETRY_SHARE),
                         mFile.decimal(RETRY_ALLOWANCE)),
+                mFile.flag(CUT_WITHDRAWN),
                 Duration.ofMillis(mFile.number(ORDER_PAUSE)).plus(ORDER_MARGIN),
                 Duration.ofMillis(mFile.number(STOP)),
                 (int) mFile.number(LOGGED_REQUESTS));
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AdapterDesk.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AdapterDesk.java
@@ -35,7 +35,7 @@
     /** Returns the next order of adapters for an engine; empty when none is due or possible. */
     Optional<Step> next(EngineState engine, PoolSize pool, ModelDemands demands, long now) {
         Deque<Wanted> waiting = mWaiting.get(engine.name());
-        if (waiting == null || !engine.mayOrderAdapter() || !engine.view().usable()) {
+        if (waiting == null || !engine.isIdle() || !engine.view().usable()) {
             return Optional.empty();
         }
         waiting.removeIf(
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
@@ -115,6 +115,11 @@
             mOutbox.adapterResident(engine, state.view().start(), model, adapter, true);
             return;
         }
+        if (!mayOrder() || state.isChangingModels() || !state.serves(model)) {
+            // The request is better off at another engine.
+            mOutbox.adapterResident(engine, state.view().start(), model, adapter, false);
+            return;
+        }
         mAdapters.want(engine, model, adapter, mClock.millis());
         orderAdapters(state);
     }
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementSettings.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementSettings.java
@@ -11,6 +11,9 @@
  * @param planInterval time between two plans
  * @param fillTarget part of an engine's slots that the demand for one copy is to fill
  * @param activeRequests requests under way from which a model has two copies
+ * @param crowdedRequests requests under way for each copy from which another copy may displace one
+ *     that is used less
+ * @param gainFactor how much more the copies of a model must carry than the one they displace
  * @param demandMemory time in which demand that has ended is forgotten to a third
  * @param reportLife time after which what a node said of its demand counts no more
  * @param storeBurst loads from the weight store that may begin at once
@@ -22,6 +25,8 @@
         Duration planInterval,
         double fillTarget,
         double activeRequests,
+        double crowdedRequests,
+        double gainFactor,
         Duration demandMemory,
         Duration reportLife,
         double storeBurst,
@@ -42,9 +47,11 @@
                 Duration.ofSeconds(15),
                 Duration.ofMillis(20),
                 Duration.ofMillis(250),
-                0.35,
                 0.5,
-                Duration.ofSeconds(5),
+                3,
+                8,
+                3,
+                Duration.ofSeconds(10),
                 Duration.ofSeconds(4),
                 2,
                 Duration.ofSeconds(10));
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -165,18 +165,24 @@
     }
 
     private boolean mayGo(String model, boolean urgent, Want want) {
-        int copies = copies(model);
         if (mPool.model(model).isEmpty()) {
             return true;
         }
-        if (copies > needed(model)) {
-            return true;
-        }
-        if (copies > 1) {
-            boolean worthMore = want.copies() == 0 || loadPerCopy(model) * 2 < want.urgency();
-            return worthMore;
+        int copies = copies(model);
+        if (copies <= 1) {
+            return urgent && mDemands.of(model) == 0;
         }
-        return urgent && mDemands.of(model) == 0;
+        boolean gains =
+                want.copies() == 0
+                        || (want.urgency() >= mSettings.crowdedRequests()
+                                && loadPerCopy(model) * mSettings.gainFactor() < want.urgency());
+        return gains && (copies > needed(model) || want.copies() == 0 || loadsLess(model, want));
+    }
+
+    /** Returns whether a copy is used far less than those of the wanted model. */
+    private boolean loadsLess(String model, Want want) {
+        double afterwards = mDemands.of(model) / Math.max(1, copies(model) - 1);
+        return afterwards * mSettings.gainFactor() < want.urgency();
     }
 
     private double loadPerCopy(String model) {
--- a/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
@@ -200,20 +200,20 @@
                 && mInFlight.model().equals(model);
     }
 
-    /** Returns whether a model order may be sent now. */
+    /** Returns whether an order may be sent now; engines carry out one at a time. */
     boolean isIdle() {
-        return mayOrderAdapter() && mLoading == null && mUnloading == null && !mView.busy();
+        return mInFlight == null && mOrders.isPresent() && !isChangingModels();
     }
 
-    /** Returns whether the engine is to be asked what it holds. */
-    boolean isUnsettled() {
-        boolean carriesOut = mLoading != null || mUnloading != null || mView.busy();
-        return mInFlight == null && (mOrders.isEmpty() || carriesOut);
+    /** Returns whether the engine loads or drops a model, and takes no adapter meanwhile. */
+    boolean isChangingModels() {
+        boolean ordered = mInFlight != null && mInFlight.adapter().isEmpty();
+        return ordered || mLoading != null || mUnloading != null || mView.busy();
     }
 
-    /** Returns whether an adapter order may be sent now. */
-    boolean mayOrderAdapter() {
-        return mInFlight == null && mOrders.isPresent();
+    /** Returns whether the engine is to be asked what it holds. */
+    boolean isUnsettled() {
+        return mInFlight == null && (mOrders.isEmpty() || isChangingModels());
     }
 
     boolean hasRestartedWithin(long milliseconds, long now) {
--- a/routing/src/main/java/org/foxtailridge/routing/ExpectedTimeRouter.java
+++ b/routing/src/main/java/org/foxtailridge/routing/ExpectedTimeRouter.java
@@ -85,7 +85,11 @@
         if (!directory().report(entry, report)) {
             return;
         }
-        entry.limit().reported(report.running(), report.waiting());
+        if (report.batchSize() > 0) {
+            entry.limit().batchSize(report.batchSize());
+        } else {
+            entry.limit().reported(report.running(), report.waiting());
+        }
         if (before != null && before.incarnation() != report.incarnation()) {
             mChoice.returned(entry, nowMilliseconds());
         }
--- a/routing/src/main/java/org/foxtailridge/routing/LoadReport.java
+++ b/routing/src/main/java/org/foxtailridge/routing/LoadReport.java
@@ -15,6 +15,7 @@
  * @param role which phases it executes
  * @param leaving whether it is going out of service
  * @param residents models and adapters in its memory
+ * @param batchSize requests that it runs at once; 0 when that isn't known
  */
 public record LoadReport(
         long incarnation,
@@ -25,10 +26,35 @@
         long usedBytes,
         EngineRole role,
         boolean leaving,
-        List<Resident> residents) {
+        List<Resident> residents,
+        int batchSize) {
     /** Copies the list. */
     public LoadReport {
         Objects.requireNonNull(role, "role");
         residents = List.copyOf(residents);
     }
+
+    /** Creates a report of an endpoint whose batch size isn't known. */
+    public LoadReport(
+            long incarnation,
+            long asOfMilliseconds,
+            int running,
+            int waiting,
+            long memoryBytes,
+            long usedBytes,
+            EngineRole role,
+            boolean leaving,
+            List<Resident> residents) {
+        this(
+                incarnation,
+                asOfMilliseconds,
+                running,
+                waiting,
+                memoryBytes,
+                usedBytes,
+                role,
+                leaving,
+                residents,
+                0);
+    }
 }
--- a/routing/src/main/java/org/foxtailridge/routing/internal/ConcurrencyLimit.java
+++ b/routing/src/main/java/org/foxtailridge/routing/internal/ConcurrencyLimit.java
@@ -49,6 +49,11 @@
         }
     }
 
+    /** Takes in how many requests the endpoint runs at once; a known size needs no estimate. */
+    public void batchSize(int requests) {
+        mLimit = requests;
+    }
+
     /**
      * Takes in how fast tokens come.
      *
