--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.log.LogEvent;
@@ -26,11 +27,12 @@
 /** Limits of client accounts; each account's home is the holder of one partition of duties. */
 final class NodeLimits implements DutyListener {
     private static final Logger LOGGER = LogManager.getLogger(NodeLimits.class);
-    // Processes that may run at once: several times the nodes of one site, for replacements.
-    private static final int MOST_NODES = 16;
-    private static final int FLOOR_PERCENT = 5;
-    // A replaced process may outlive the start of its replacement by its time to stop.
-    private static final long FLOOR_DELAY_MILLISECONDS = 10_000;
+    // Until the nodes of the fleet are known.
+    private static final int MOST_NODES = 64;
+    // What a data centre that is cut off goes on with; the rest moves to where it is needed.
+    private static final int FLOOR_PERCENT = 60;
+    // By then every node has read of a new one, and has made its own floor smaller.
+    private static final long FLOOR_DELAY_MILLISECONDS = 4_000;
     private static final long GRANT_MILLISECONDS = 1_000;
     private static final long LONGEST_WAIT_MILLISECONDS = 250;
     // A client account sends one node a few requests a second: tokens held ahead would lapse.
@@ -52,6 +54,8 @@
                         .grantMilliseconds(GRANT_MILLISECONDS)
                         .longestWaitMilliseconds(LONGEST_WAIT_MILLISECONDS)
                         .prefetchMilliseconds(PREFETCH_MILLISECONDS)
+                        .floorFirst(true)
+                        .floorBurstExtra(true)
                         .build();
         mLimiter =
                 GrantLimiter.create(
@@ -65,7 +69,8 @@
         return mLimiter;
     }
 
-    void tick() {
+    void tick(Set<NodeName> listedNodes) {
+        mLimiter.membersChanged(listedNodes);
         mLimiter.tick();
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
@@ -6,8 +6,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -79,6 +81,14 @@
         tellListed();
     }
 
+    /** Returns the nodes that may run, this one included. */
+    Set<NodeName> listedNodes() {
+        Set<NodeName> nodes = new HashSet<>(mListed.keySet());
+        nodes.addAll(mPeers);
+        nodes.add(mSettings.name());
+        return nodes;
+    }
+
     /** Returns the record by which other nodes find this one. */
     KeyedRecord ownRecord() {
         byte[] dataCentre = mSettings.dataCentre().value().getBytes(StandardCharsets.UTF_8);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
@@ -34,7 +34,7 @@
     private static final FollowerTimes ENDPOINTS_TIMES =
             new FollowerTimes(Duration.ZERO, Duration.ofMillis(500), Duration.ofMillis(250));
     private static final FollowerTimes NODES_TIMES =
-            new FollowerTimes(Duration.ZERO, Duration.ofSeconds(5), Duration.ofSeconds(1));
+            new FollowerTimes(Duration.ZERO, Duration.ofSeconds(2), Duration.ofSeconds(1));
 
     private final NodeMembership mMembers;
     private final DatagramNetwork mNetwork;
--- a/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
+++ b/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
@@ -29,6 +29,10 @@
  * @param messageLifetimeMilliseconds time after which no copy of a sent message can arrive
  * @param prefetchMilliseconds time for which a node holds tokens ahead of requests; 0 asks the home
  *     node for each request, which wastes nothing while a client account sends a node little
+ * @param floorFirst whether a node uses its floor before it asks the home node; otherwise only when
+ *     the home node has nothing or can't be reached
+ * @param floorBurstExtra whether the bursts of all floors together come on top of the limit's, so
+ *     that the home node can admit as large a request as without floors
  */
 public record LimiterSettings(
         NodeName node,
@@ -44,7 +48,9 @@
         int maximumWaiting,
         int maximumHolders,
         long messageLifetimeMilliseconds,
-        long prefetchMilliseconds) {
+        long prefetchMilliseconds,
+        boolean floorFirst,
+        boolean floorBurstExtra) {
     /** Checks the ranges. */
     public LimiterSettings {
         Objects.requireNonNull(node, "node");
@@ -90,6 +96,8 @@
         private int mMaximumHolders = 4_096;
         private long mMessageLifetimeMilliseconds = 600_000;
         private long mPrefetchMilliseconds = 1_200;
+        private boolean mFloorFirst;
+        private boolean mFloorBurstExtra;
 
         private Builder(NodeName node, long incarnation) {
             mNode = node;
@@ -168,6 +176,18 @@
             return this;
         }
 
+        /** Sets whether a node uses its floor before it asks the home node. */
+        public Builder floorFirst(boolean first) {
+            mFloorFirst = first;
+            return this;
+        }
+
+        /** Sets whether the bursts of all floors come on top of the limit's. */
+        public Builder floorBurstExtra(boolean extra) {
+            mFloorBurstExtra = extra;
+            return this;
+        }
+
         /** Returns the settings. */
         public LimiterSettings build() {
             return new LimiterSettings(
@@ -184,7 +204,9 @@
                     mMaximumWaiting,
                     mMaximumHolders,
                     mMessageLifetimeMilliseconds,
-                    mPrefetchMilliseconds);
+                    mPrefetchMilliseconds,
+                    mFloorFirst,
+                    mFloorBurstExtra);
         }
     }
 }
--- a/limits/src/main/java/org/foxtailridge/limits/TokenLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/TokenLimiter.java
@@ -50,7 +50,11 @@
     /** Removes a client account; its waiting requests are decided as unknown account. */
     void limitRemoved(ClientAccountName account);
 
-    /** Tells which nodes are alive, this node included. */
+    /**
+     * Tells which nodes may run, this node included; from then on floors are split over as many, in
+     * place of the number of the settings. A new node is to be told of everywhere before the floor
+     * delay of the settings has passed.
+     */
     void membersChanged(Set<NodeName> members);
 
     /** Tells that this node holds or has renewed the lease of a home. */
--- a/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
@@ -88,6 +88,9 @@
         advance(nowMilliseconds);
         mDemand.add(tokens);
         long deadline = nowMilliseconds + mSettings.longestWaitMilliseconds();
+        if (mSettings.floorFirst() && mWaiting.isEmpty() && grantFromFloor(tokens, decision)) {
+            return;
+        }
         if (mWaiting.isEmpty() && grantFromPool(tokens, decision)) {
             askWhenLow(nowMilliseconds);
         } else if (mLink.isPaused(tokens, nowMilliseconds) && grantFromFloor(tokens, decision)) {
--- a/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
@@ -47,7 +47,9 @@
     private final OpenReservations mReservations;
     private final long mFloorFromMilliseconds;
     private final Map<ClientAccountName, AccountLimiter> mAccounts = new HashMap<>();
+    private final Map<ClientAccountName, TokenLimit> mLimits = new HashMap<>();
     private final Homes mHomes;
+    private int mNodes;
 
     GrantLimiter(LimiterSettings settings, GrantRules rules, Clock clock, LimiterOutbox outbox) {
         mSettings = Objects.requireNonNull(settings, "settings");
@@ -57,6 +59,7 @@
         mReservations = new OpenReservations(settings.maximumOpenReservations());
         mFloorFromMilliseconds = clock.millis() + settings.floorDelayMilliseconds();
         mHomes = new Homes(settings, rules, this::send);
+        mNodes = settings.maximumNodes();
     }
 
     /**
@@ -94,7 +97,8 @@
 
     @Override
     public void limitChanged(ClientAccountName account, TokenLimit limit) {
-        LimitParts parts = LimitParts.of(limit, mSettings);
+        mLimits.put(account, limit);
+        LimitParts parts = LimitParts.of(limit, mSettings, mNodes);
         mHomes.limitChanged(account, parts, now());
         AccountLimiter limiter = mAccounts.get(account);
         if (limiter == null) {
@@ -108,6 +112,7 @@
 
     @Override
     public void limitRemoved(ClientAccountName account) {
+        mLimits.remove(account);
         AccountLimiter limiter = mAccounts.get(account);
         if (limiter != null) {
             limiter.remove();
@@ -116,7 +121,12 @@
 
     @Override
     public void membersChanged(Set<NodeName> members) {
-        Objects.requireNonNull(members, "members");
+        int nodes = Math.max(1, members.size());
+        if (nodes == mNodes) {
+            return;
+        }
+        mNodes = nodes;
+        Map.copyOf(mLimits).forEach(this::limitChanged);
     }
 
     @Override
--- a/limits/src/main/java/org/foxtailridge/limits/grant/LimitParts.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/LimitParts.java
@@ -24,8 +24,12 @@
     private static final long MILLION = 1_000_000;
 
     static LimitParts of(TokenLimit limit, LimiterSettings settings) {
+        return of(limit, settings, settings.maximumNodes());
+    }
+
+    /** Returns the parts for a fleet of as many nodes as may run at once. */
+    static LimitParts of(TokenLimit limit, LimiterSettings settings, long nodes) {
         long rate = afterDrift(limit.rateTokensPerSecond() * MILLI, settings);
-        long nodes = settings.maximumNodes();
         long floorRate = rate / PERCENT * settings.floorPercent() / nodes;
         long floorBurst = limit.burstTokens() * settings.floorPercent() / PERCENT / nodes;
         long floorCapacity = floorBurst - earlyTokens(floorRate);
@@ -35,7 +39,10 @@
             floorCapacity = 0;
         }
         long homeRate = rate - floorRate * nodes;
-        long homeBurst = limit.burstTokens() - floorBurst * nodes;
+        long homeBurst =
+                settings.floorBurstExtra()
+                        ? limit.burstTokens()
+                        : limit.burstTokens() - floorBurst * nodes;
         long homeCapacity = Math.max(1, homeBurst - earlyTokens(homeRate));
         return new LimitParts(homeRate, homeCapacity, floorRate, floorCapacity);
     }
