--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -274,7 +274,7 @@
     private void slowTick() {
         mMembers.tick();
         mDuties.tick();
-        mLimits.tick(mMembers.listedNodes());
+        mLimits.tick(mMembers);
         mEndpoints.tick();
         mRetries.nodes(mMembers.fleetSize());
         mScheduler.tick();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
@@ -34,6 +34,7 @@
                     Duration.ofMillis(2_000),
                     Duration.ofMillis(600),
                     Duration.ofMillis(150),
+                    Duration.ofMillis(500),
                     Duration.ofMillis(1_000));
     private static final OptionalLong UNKNOWN = OptionalLong.of(0);
     private static final long STATEMENT_MILLISECONDS = 700;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.log.LogEvent;
@@ -31,13 +30,17 @@
     private static final int MOST_NODES = 64;
     // What a data centre that is cut off goes on with; the rest moves to where it is needed.
     private static final int FLOOR_PERCENT = 60;
-    // By then every node has read of a new one, and has made its own floor smaller.
-    private static final long FLOOR_DELAY_MILLISECONDS = 4_000;
-    private static final long GRANT_MILLISECONDS = 1_000;
+    // Floors start empty, and stay small until the number of nodes is known.
+    private static final long FLOOR_DELAY_MILLISECONDS = 0;
+    private static final long NODES_KNOWN_MILLISECONDS = 4_000;
+    // Tokens are asked for when they are needed, so that they are spent as soon as they come.
+    private static final long GRANT_MILLISECONDS = 400;
     private static final long LONGEST_WAIT_MILLISECONDS = 250;
     // A client account sends one node a few requests a second: tokens held ahead would lapse.
     private static final long PREFETCH_MILLISECONDS = 0;
 
+    private final Clock mClock;
+    private final long mStartedMilliseconds;
     private final TokenLimiter mLimiter;
     private final Map<Integer, Held> mHeld = new HashMap<>();
     private final Map<Integer, Elsewhere> mElsewhere = new HashMap<>();
@@ -45,12 +48,13 @@
 
     NodeLimits(
             ForwardingSettings settings, Clock clock, long incarnation, DatagramNetwork network) {
+        mClock = clock;
+        mStartedMilliseconds = clock.millis();
         LimiterSettings limits =
                 LimiterSettings.builder(settings.name(), incarnation)
                         .maximumNodes(MOST_NODES)
                         .floorPercent(FLOOR_PERCENT)
-                        .floorDelayMilliseconds(
-                                settings.firstStart() ? 0 : FLOOR_DELAY_MILLISECONDS)
+                        .floorDelayMilliseconds(FLOOR_DELAY_MILLISECONDS)
                         .grantMilliseconds(GRANT_MILLISECONDS)
                         .longestWaitMilliseconds(LONGEST_WAIT_MILLISECONDS)
                         .prefetchMilliseconds(PREFETCH_MILLISECONDS)
@@ -69,8 +73,11 @@
         return mLimiter;
     }
 
-    void tick(Set<NodeName> listedNodes) {
-        mLimiter.membersChanged(listedNodes);
+    void tick(NodeMembership members) {
+        boolean started = mClock.millis() - mStartedMilliseconds >= NODES_KNOWN_MILLISECONDS;
+        if (members.hasReadNodes() || started) {
+            mLimiter.membersChanged(members.listedNodes());
+        }
         mLimiter.tick();
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
@@ -36,6 +36,7 @@
     private final Membership mMembership;
     private final Map<NodeName, DataCentreName> mListed = new HashMap<>();
     private List<NodeName> mPeers = List.of();
+    private boolean mReadNodes;
 
     NodeMembership(
             ForwardingSettings settings, Clock clock, long incarnation, DatagramNetwork network) {
@@ -62,8 +63,14 @@
         tellListed();
     }
 
+    /** Returns whether what nodes have written of themselves was read. */
+    boolean hasReadNodes() {
+        return mReadNodes;
+    }
+
     /** Takes what nodes have written of themselves. */
     void listed(List<KeyedRecord> records) {
+        mReadNodes = true;
         for (KeyedRecord entry : records) {
             if (!Names.isName(entry.key())) {
                 continue;
--- a/membership/src/main/java/org/foxtailridge/membership/group/GroupDuties.java
+++ b/membership/src/main/java/org/foxtailridge/membership/group/GroupDuties.java
@@ -36,6 +36,7 @@
     private boolean mPending;
     private boolean mLeft;
     private Instant mSentAt = Instant.MIN;
+    private Instant mFirstJoinAt = Instant.MIN;
 
     /** Creates duties that hold nothing yet. */
     public GroupDuties(GroupSettings settings, Clock clock, GroupOutbox outbox) {
@@ -69,7 +70,8 @@
         boolean changed = answer.generation() != mGeneration;
         mGeneration = answer.generation();
         giveUpUnlisted(answer.partitions());
-        if (now.isBefore(until)) {
+        boolean settled = !mSentAt.isBefore(mFirstJoinAt.plus(mSettings.settleTime()));
+        if (settled && now.isBefore(until)) {
             answer.partitions().forEach(partition -> hold(partition, now, until));
         }
         if (changed) {
@@ -117,6 +119,7 @@
 
     private void join(Instant now) {
         mJoin++;
+        mFirstJoinAt = mJoin == 1 ? now : mFirstJoinAt;
         mPending = true;
         mSentAt = now;
         mOutbox.join(mJoin, mGeneration);
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -21,6 +21,9 @@
 final class CopyPlanner {
     private static final double NO_COPY_ASKED_FOR = 1e9;
     private static final double NO_COPY = 1e6;
+    private static final double IDLE_REQUESTS = 0.3;
+    // A model without a copy keeps the next request for it waiting for a whole load.
+    private static final double LAST_COPY_LOSS = 4;
 
     private final AnnouncedPlacementSettings mSettings;
     private final PoolSize mPool;
@@ -30,6 +33,7 @@
     private final StoreLoads mStore;
     private final long mNow;
     private final Set<EngineState> mUsed = new HashSet<>();
+    private final Map<String, Integer> mPlanned = new HashMap<>();
 
     CopyPlanner(
             AnnouncedPlacementSettings settings,
@@ -63,6 +67,7 @@
                             step -> {
                                 steps.add(step);
                                 mUsed.add(step.engine());
+                                mPlanned.merge(step.model(), step.load() ? 1 : -1, Integer::sum);
                             });
         }
         return steps;
@@ -85,8 +90,10 @@
         return Optional.of(new Want(model, copies, urgency));
     }
 
+    /** Returns the copies that serve, less those that this plan takes away. */
     private int copies(String model) {
-        return (int) mEngines.stream().filter(engine -> engine.serves(model)).count();
+        int serving = (int) mEngines.stream().filter(engine -> engine.serves(model)).count();
+        return serving + Math.min(0, mPlanned.getOrDefault(model, 0));
     }
 
     /** Returns the copies that a model is to have. */
@@ -143,7 +150,7 @@
             }
             victims.add(victim);
             missing -= mPool.model(victim).map(ModelSize::megabytes).orElse(0.0);
-            lost += loadPerCopy(victim) + 1.0 / Math.max(1, copies(victim));
+            lost += loss(victim);
         }
         if (missing > 0) {
             return Optional.empty();
@@ -154,35 +161,35 @@
 
     /** Returns the models that may make room, those first that are missed least. */
     private List<String> victims(EngineState engine, Want want) {
-        boolean urgent = want.urgency() >= NO_COPY_ASKED_FOR;
         return engine.models().stream()
-                .filter(model -> mayGo(model, urgent, want))
-                .sorted(
-                        Comparator.<String>comparingInt(model -> copies(model) > 1 ? 0 : 1)
-                                .thenComparingDouble(this::loadPerCopy)
-                                .thenComparingInt(model -> -copies(model)))
+                .filter(model -> mayGo(model, want))
+                .sorted(Comparator.comparingDouble(this::loss))
                 .toList();
     }
 
-    private boolean mayGo(String model, boolean urgent, Want want) {
+    private boolean mayGo(String model, Want want) {
         if (mPool.model(model).isEmpty()) {
             return true;
         }
         int copies = copies(model);
+        boolean urgent = want.urgency() >= NO_COPY_ASKED_FOR;
         if (copies <= 1) {
-            return urgent && mDemands.of(model) == 0;
+            return urgent && mDemands.of(model) < IDLE_REQUESTS;
         }
+        double afterwards = mDemands.of(model) / (copies - 1);
         boolean gains =
-                want.copies() == 0
-                        || (want.urgency() >= mSettings.crowdedRequests()
-                                && loadPerCopy(model) * mSettings.gainFactor() < want.urgency());
-        return gains && (copies > needed(model) || want.copies() == 0 || loadsLess(model, want));
+                want.urgency() >= mSettings.crowdedRequests()
+                        && afterwards * mSettings.gainFactor() < want.urgency();
+        return want.copies() == 0 || gains;
     }
 
-    /** Returns whether a copy is used far less than those of the wanted model. */
-    private boolean loadsLess(String model, Want want) {
-        double afterwards = mDemands.of(model) / Math.max(1, copies(model) - 1);
-        return afterwards * mSettings.gainFactor() < want.urgency();
+    /** Returns how much a copy is missed: as requests that its engine runs less. */
+    private double loss(String model) {
+        if (mPool.model(model).isEmpty()) {
+            return 0;
+        }
+        int copies = copies(model);
+        return copies > 1 ? loadPerCopy(model) + 1.0 / copies : LAST_COPY_LOSS;
     }
 
     private double loadPerCopy(String model) {
