--- /dev/null
+++ b/membership/src/test/java/org/foxtailridge/membership/group/GroupDutiesTest.java
@@ -0,0 +1,239 @@
+package org.foxtailridge.membership.group;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.foxtailridge.core.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+class GroupDutiesTest {
+    private static final GroupSettings SETTINGS =
+            new GroupSettings(
+                    Duration.ofMillis(2_000),
+                    Duration.ofMillis(600),
+                    Duration.ofMillis(150),
+                    Duration.ofMillis(500),
+                    Duration.ofMillis(1_000));
+    private static final int PARTITIONS = 4;
+
+    private final ManualClock mClock = ManualClock.atEpoch();
+    private final FakeGroup mGroup = new FakeGroup(PARTITIONS, SETTINGS.lifetime(), mClock);
+    private final Map<String, Member> mMembers = new HashMap<>();
+
+    @Test
+    void should_take_every_duty_once_it_has_settled() {
+        // GIVEN
+        Member only = member("a");
+
+        // WHEN
+        run(1_500);
+
+        // THEN
+        assertThat(only.mDuties.all()).hasSize(PARTITIONS);
+    }
+
+    @Test
+    void should_take_nothing_before_it_has_settled() {
+        // GIVEN
+        Member only = member("a");
+
+        // WHEN
+        run(400);
+
+        // THEN
+        assertThat(only.mDuties.all()).isEmpty();
+    }
+
+    @Test
+    void should_stop_before_the_group_gives_its_duties_away() {
+        // GIVEN
+        Member cut = member("a");
+        run(1_500);
+
+        // WHEN
+        cut.mReachable = false;
+        run(2_000);
+
+        // THEN
+        assertThat(cut.mDuties.held(0)).isEmpty();
+        assertThat(cut.mEvents).contains("lapsed 0");
+    }
+
+    @Test
+    void should_keep_its_fencing_number_when_nobody_else_held_the_duty_meanwhile() {
+        // GIVEN
+        Member cut = member("a");
+        run(1_500);
+        long fencing = cut.mDuties.held(0).orElseThrow().fencing();
+
+        // WHEN answers are lost while joins still arrive
+        cut.mAnswersLost = true;
+        run(2_200);
+        cut.mAnswersLost = false;
+        run(1_500);
+
+        // THEN
+        assertThat(cut.mDuties.held(0).orElseThrow().fencing()).isEqualTo(fencing);
+    }
+
+    @Test
+    void should_hand_all_duties_on_when_it_leaves() {
+        // GIVEN
+        Member leaving = member("a");
+        Member staying = member("b");
+        run(3_000);
+
+        // WHEN
+        leaving.mDuties.leave();
+        run(1_500);
+
+        // THEN
+        assertThat(leaving.mDuties.all()).isEmpty();
+        assertThat(staying.mDuties.all()).hasSize(PARTITIONS);
+    }
+
+    @Test
+    void should_give_a_later_holder_a_higher_fencing_number() {
+        // GIVEN
+        Member first = member("a");
+        run(1_500);
+        long before = first.mDuties.held(0).orElseThrow().fencing();
+        Member second = member("b");
+
+        // WHEN
+        first.mReachable = false;
+        run(5_000);
+
+        // THEN
+        assertThat(second.mDuties.held(0).orElseThrow().fencing()).isGreaterThan(before);
+    }
+
+    @Test
+    void should_refuse_times_that_lose_the_membership_between_two_joins() {
+        assertThatThrownBy(
+                        () ->
+                                new GroupSettings(
+                                        Duration.ofSeconds(1),
+                                        Duration.ofSeconds(1),
+                                        Duration.ZERO,
+                                        Duration.ZERO,
+                                        Duration.ofSeconds(1)))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("below lifetime");
+    }
+
+    @Property(tries = 3_000, seed = "9107")
+    void should_let_one_member_at_a_time_act_on_a_duty(@ForAll long seed) {
+        Random random = new Random(seed);
+        ManualClock clock = ManualClock.atEpoch();
+        FakeGroup group = new FakeGroup(PARTITIONS, SETTINGS.lifetime(), clock);
+        List<Member> members = new ArrayList<>();
+        for (String name : List.of("a", "b", "c")) {
+            members.add(new Member(name, group, clock));
+        }
+        for (int step = 0; step < 200; step++) {
+            disturb(random, members, group);
+            clock.advance(Duration.ofMillis(20 + random.nextInt(150)));
+            for (Member member : members) {
+                if (!member.mFrozen) {
+                    member.mDuties.tick();
+                }
+            }
+            assertThatOneActs(members);
+        }
+    }
+
+    private static void disturb(Random random, List<Member> members, FakeGroup group) {
+        Member member = members.get(random.nextInt(members.size()));
+        switch (random.nextInt(25)) {
+            case 0 -> member.mReachable = !member.mReachable;
+            case 1 -> member.mAnswersLost = !member.mAnswersLost;
+            case 2 -> member.mFrozen = !member.mFrozen;
+            case 3 -> group.dealAnew();
+            default -> {}
+        }
+    }
+
+    private static void assertThatOneActs(List<Member> members) {
+        for (int partition = 0; partition < PARTITIONS; partition++) {
+            int acting = 0;
+            for (Member member : members) {
+                acting += member.mDuties.held(partition).isPresent() ? 1 : 0;
+            }
+            assertThat(acting).as("members that act on %s", partition).isLessThanOrEqualTo(1);
+        }
+    }
+
+    private Member member(String name) {
+        Member member = new Member(name, mGroup, mClock);
+        mMembers.put(name, member);
+        return member;
+    }
+
+    private void run(long milliseconds) {
+        for (long passed = 0; passed < milliseconds; passed += 50) {
+            mClock.advance(Duration.ofMillis(50));
+            mMembers.values().forEach(member -> member.mDuties.tick());
+        }
+    }
+
+    private static final class Member implements GroupOutbox {
+        private final String mName;
+        private final FakeGroup mGroup;
+        private final GroupDuties mDuties;
+        private final List<String> mEvents = new ArrayList<>();
+        private boolean mReachable = true;
+        private boolean mAnswersLost;
+        private boolean mFrozen;
+
+        private Member(String name, FakeGroup group, java.time.Clock clock) {
+            mName = name;
+            mGroup = group;
+            mDuties = new GroupDuties(SETTINGS, clock, this);
+        }
+
+        @Override
+        public void join(long join, long generation) {
+            if (!mReachable) {
+                return;
+            }
+            GroupAnswer answer = mGroup.join(mName, generation);
+            if (!mAnswersLost) {
+                mDuties.joined(join, answer);
+            }
+        }
+
+        @Override
+        public void leaveGroup() {
+            mGroup.leave(mName);
+        }
+
+        @Override
+        public void taken(HeldDuty duty) {
+            mEvents.add("taken " + duty.partition());
+        }
+
+        @Override
+        public void renewed(HeldDuty duty) {
+            mEvents.add("renewed " + duty.partition());
+        }
+
+        @Override
+        public void lost(HeldDuty duty) {
+            mEvents.add("lost " + duty.partition());
+        }
+
+        @Override
+        public void lapsed(HeldDuty duty) {
+            mEvents.add("lapsed " + duty.partition());
+        }
+    }
+}
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -83,11 +83,12 @@
             mRoom.remove(name);
             return Optional.empty();
         }
-        double urgency = demand / Math.max(1, copies);
+        double load = demand / Math.max(1, copies);
+        double urgency = load;
         if (copies == 0) {
             urgency += demand > 0 ? NO_COPY_ASKED_FOR : NO_COPY;
         }
-        return Optional.of(new Want(model, copies, urgency));
+        return Optional.of(new Want(model, copies, load, urgency));
     }
 
     /** Returns the copies that serve, less those that this plan takes away. */
@@ -178,9 +179,10 @@
         }
         double afterwards = mDemands.of(model) / (copies - 1);
         boolean gains =
-                want.urgency() >= mSettings.crowdedRequests()
-                        && afterwards * mSettings.gainFactor() < want.urgency();
-        return want.copies() == 0 || gains;
+                want.load() >= mSettings.crowdedRequests()
+                        && afterwards * mSettings.gainFactor() < want.load();
+        boolean reaches = want.copies() == 0 && (urgent || copies > needed(model));
+        return reaches || gains;
     }
 
     /** Returns how much a copy is missed: as requests that its engine runs less. */
@@ -248,7 +250,15 @@
      */
     record RoomBeingMade(String engine, long untilMilliseconds) {}
 
-    private record Want(ModelSize model, int copies, double urgency) {}
+    /**
+     * A copy that is wanted.
+     *
+     * @param model the model
+     * @param copies copies that it has
+     * @param load requests under way for each of them
+     * @param urgency what decides which want comes first
+     */
+    private record Want(ModelSize model, int copies, double load, double urgency) {}
 
     private record Place(EngineState engine, List<String> victims, double cost) {}
 }
