--- /dev/null
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/relay/StreamRelayTest.java
@@ -0,0 +1,180 @@
+package org.foxtailridge.forwarding.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.core.time.ManualClock;
+import org.foxtailridge.forwarding.stream.FakeLog;
+import org.foxtailridge.forwarding.stream.FollowerTimes;
+import org.foxtailridge.forwarding.stream.KeyedBatch;
+import org.foxtailridge.forwarding.stream.KeyedLog;
+import org.foxtailridge.forwarding.stream.KeyedRecord;
+import org.foxtailridge.forwarding.stream.KeyedStream;
+import org.foxtailridge.forwarding.stream.StreamFollower;
+import org.foxtailridge.forwarding.stream.StreamListener;
+import org.foxtailridge.forwarding.stream.StreamSource;
+import org.foxtailridge.protocol.relay.RelayMessage;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class StreamRelayTest {
+    private final ManualClock mClock = ManualClock.at(Instant.ofEpochSecond(50));
+    private final Map<NodeName, Node> mNodes = new LinkedHashMap<>();
+    private final Deque<Runnable> mNetwork = new ArrayDeque<>();
+    private final Random mLoss = new Random(3);
+    private double mLostShare;
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.1, 0.4})
+    void should_bring_an_edit_to_a_node_that_the_log_turns_away_within_two_seconds(double lost) {
+        // GIVEN
+        mLostShare = lost;
+        Node served = node("served", KeyedStream.CONFIGURATION);
+        Node turnedAway = node("turned-away", KeyedStream.CONFIGURATION);
+        turnedAway.mLog.away(true);
+        byte[] large = new byte[60_000];
+        new Random(1).nextBytes(large);
+
+        // WHEN
+        served.mLog.append(KeyedRecord.of("configuration", large));
+        run(lost > 0.3 ? 4_000 : 2_000);
+
+        // THEN
+        assertThat(turnedAway.mFollower.values()).containsKey("configuration");
+        assertThat(turnedAway.mFollower.values().get("configuration")).isEqualTo(large);
+    }
+
+    @Test
+    void should_not_fetch_what_the_log_brings_anyway() {
+        // GIVEN
+        Node one = node("one", KeyedStream.ENDPOINTS);
+        Node two = node("two", KeyedStream.ENDPOINTS);
+        two.mLog = one.mLog;
+        run(1_000);
+
+        // WHEN
+        one.mLog.append(KeyedRecord.of("endpoint", new byte[10]));
+        run(3_000);
+
+        // THEN
+        assertThat(one.mPartsSent + two.mPartsSent).isZero();
+    }
+
+    @Test
+    void should_bring_the_endpoints_to_a_node_that_starts_while_the_log_is_away() {
+        // GIVEN
+        Node old = node("old", KeyedStream.ENDPOINTS);
+        old.mLog.append(KeyedRecord.of("endpoint", new byte[10]));
+        run(500);
+        old.mLog.away(true);
+
+        // WHEN
+        Node fresh = node("fresh", KeyedStream.ENDPOINTS);
+        fresh.mLog.away(true);
+        run(2_000);
+
+        // THEN
+        assertThat(fresh.mFollower.values()).containsKey("endpoint");
+    }
+
+    private Node node(String name, KeyedStream stream) {
+        Node node = new Node(NodeName.of(name), stream);
+        mNodes.put(node.mName, node);
+        return node;
+    }
+
+    private void run(long milliseconds) {
+        for (long passed = 0; passed < milliseconds; passed += 20) {
+            mClock.advance(Duration.ofMillis(20));
+            for (Node node : List.copyOf(mNodes.values())) {
+                node.mFollower.tick();
+                node.mRelay.tick();
+            }
+            List<Runnable> due = new ArrayList<>(mNetwork);
+            mNetwork.clear();
+            due.forEach(Runnable::run);
+        }
+    }
+
+    private final class Node implements RelayOutbox, StreamListener {
+        private final NodeName mName;
+        private final StreamFollower mFollower;
+        private final StreamRelay mRelay;
+        private FakeLog mLog = new FakeLog();
+        private int mPartsSent;
+
+        private Node(NodeName name, KeyedStream stream) {
+            mName = name;
+            mFollower =
+                    new StreamFollower(
+                            stream,
+                            new KeyedLog() {
+                                @Override
+                                public CompletableFuture<KeyedBatch> newest(KeyedStream wanted) {
+                                    return mLog.newest(wanted);
+                                }
+
+                                @Override
+                                public CompletableFuture<KeyedBatch> read(
+                                        KeyedStream wanted, long from, Duration wait) {
+                                    return mLog.read(wanted, from, wait);
+                                }
+
+                                @Override
+                                public CompletableFuture<Void> put(
+                                        KeyedStream wanted, KeyedRecord entry) {
+                                    return mLog.put(wanted, entry);
+                                }
+                            },
+                            new FollowerTimes(
+                                    Duration.ZERO, Duration.ofMillis(300), Duration.ofMillis(200)),
+                            mClock,
+                            this);
+            mRelay =
+                    new StreamRelay(
+                            RelaySettings.defaults(),
+                            mClock,
+                            new SplittableRandom(name.hashCode()),
+                            this,
+                            List.of(mFollower));
+        }
+
+        @Override
+        public void send(NodeName receiver, RelayMessage message) {
+            mPartsSent += message.hasPart() ? 1 : 0;
+            if (mLoss.nextDouble() >= mLostShare) {
+                mNetwork.add(() -> mNodes.get(receiver).mRelay.receive(mName, message));
+            }
+        }
+
+        @Override
+        public List<NodeName> peers() {
+            return mNodes.keySet().stream().filter(name -> !name.equals(mName)).toList();
+        }
+
+        @Override
+        public void changed(List<KeyedRecord> records, StreamSource source) {
+            if (source == StreamSource.LOG) {
+                mRelay.announce();
+            }
+        }
+
+        @Override
+        public void confirmed(long asOfMilliseconds) {}
+
+        @Override
+        public void failed(Throwable failure) {}
+    }
+}
