--- a/execution/src/main/java/org/foxtailridge/execution/retry/FleetRetryBudget.java
+++ b/execution/src/main/java/org/foxtailridge/execution/retry/FleetRetryBudget.java
@@ -22,6 +22,9 @@
  * }</pre>
  */
 public final class FleetRetryBudget {
+    // Retries outlast the requests that allowed them by up to a window, and nodes may be missing.
+    private static final double PART_USED = 0.85;
+
     private final FleetRetrySettings mSettings;
     private final Clock mClock;
     private final Map<String, Usage> mServices = new HashMap<>();
@@ -47,7 +50,9 @@
     public boolean take(String service) {
         Usage usage = usage(service);
         double allowed =
-                mSettings.share() * usage.mRequests.size() + mSettings.allowance() / mNodes;
+                PART_USED
+                        * (mSettings.share() * usage.mRequests.size()
+                                + mSettings.allowance() / mNodes);
         if (usage.mRetries.size() + 1 > allowed) {
             return false;
         }
--- /dev/null
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/EventSplitterTest.java
@@ -0,0 +1,71 @@
+package org.foxtailridge.forwarding.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+    private final EventSplitter mSplitter = new EventSplitter();
+
+    @Test
+    void should_keep_an_event_back_until_it_is_whole() {
+        assertThat(feed("id: 1\ndata: a")).isEmpty();
+        assertThat(feed("\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
+        assertThat(mSplitter.lastEventId()).contains("1");
+        assertThat(mSplitter.partialBytes()).isPositive();
+    }
+
+    @Test
+    void should_know_events_whose_lines_end_in_carriage_return_and_line_feed() {
+        assertThat(feed("id: 7\r\ndata: a\r\n\r\n")).endsWith("\r\n\r\n");
+        assertThat(mSplitter.lastEventId()).contains("7");
+    }
+
+    @Test
+    void should_hand_out_what_is_left_at_the_end() {
+        feed("id: 1\n\nid: 2");
+        ByteBuf rest = mSplitter.takePartial();
+        assertThat(rest.toString(StandardCharsets.UTF_8)).isEqualTo("id: 2");
+        rest.release();
+    }
+
+    @Property(tries = 500, seed = "51")
+    void should_pass_on_every_byte_once_and_whole_events_only(@ForAll long seed) {
+        Random random = new Random(seed);
+        StringBuilder stream = new StringBuilder();
+        for (int event = 0; event < 20; event++) {
+            stream.append("id: ").append(event).append("\ndata: ");
+            stream.append("x".repeat(random.nextInt(30))).append("\n\n");
+        }
+        EventSplitter splitter = new EventSplitter();
+        StringBuilder passed = new StringBuilder();
+        int place = 0;
+        while (place < stream.length()) {
+            int end = Math.min(stream.length(), place + 1 + random.nextInt(40));
+            passed.append(feed(splitter, stream.substring(place, end)));
+            assertThat(passed.isEmpty() || passed.toString().endsWith("\n\n")).isTrue();
+            place = end;
+        }
+        assertThat(passed.toString()).isEqualTo(stream.toString());
+        assertThat(splitter.lastEventId()).contains("19");
+    }
+
+    private String feed(String text) {
+        return feed(mSplitter, text);
+    }
+
+    private static String feed(EventSplitter splitter, String text) {
+        ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+        ByteBuf whole = splitter.feed(bytes);
+        String passed = whole.toString(StandardCharsets.UTF_8);
+        whole.release();
+        bytes.release();
+        return passed;
+    }
+}
