--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingSettings.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingSettings.java
@@ -7,6 +7,7 @@
 import org.foxtailridge.core.name.DataCentreName;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.execution.retry.FleetRetrySettings;
+import org.foxtailridge.limits.LimitTolerance;
 
 /**
  * Settings of a node that forwards requests. Immutable.
@@ -20,6 +21,7 @@
  * @param inner where other nodes send datagrams
  * @param seeds some other nodes, which may be gone
  * @param retries budget of retries of the fleet
+ * @param limitTolerance by how much limits of client accounts may be passed
  * @param cutsWithdrawnKeys whether requests under way end when their key is withdrawn
  * @param orderPause time between the last order of one node and the first of another
  * @param stopTime time from the word to stop until the process is killed
@@ -35,6 +37,7 @@
         InetSocketAddress inner,
         List<NodeName> seeds,
         FleetRetrySettings retries,
+        LimitTolerance limitTolerance,
         boolean cutsWithdrawnKeys,
         Duration orderPause,
         Duration stopTime,
@@ -48,6 +51,7 @@
         Objects.requireNonNull(readiness, "readiness");
         Objects.requireNonNull(inner, "inner");
         Objects.requireNonNull(retries, "retries");
+        Objects.requireNonNull(limitTolerance, "limitTolerance");
         Objects.requireNonNull(orderPause, "orderPause");
         Objects.requireNonNull(stopTime, "stopTime");
         seeds = List.copyOf(seeds);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
@@ -59,7 +59,7 @@
                         .longestWaitMilliseconds(LONGEST_WAIT_MILLISECONDS)
                         .prefetchMilliseconds(PREFETCH_MILLISECONDS)
                         .floorFirst(true)
-                        .floorBurstExtra(true)
+                        .tolerance(settings.limitTolerance())
                         .build();
         mLimiter =
                 GrantLimiter.create(
--- a/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
+++ b/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
@@ -1,6 +1,7 @@
 package org.foxtailridge.limits;
 
 import java.util.Objects;
+import java.util.Optional;
 import org.foxtailridge.core.name.NodeName;
 
 /**
@@ -31,8 +32,8 @@
  *     node for each request, which wastes nothing while a client account sends a node little
  * @param floorFirst whether a node uses its floor before it asks the home node; otherwise only when
  *     the home node has nothing or can't be reached
- * @param floorBurstExtra whether the bursts of all floors together come on top of the limit's, so
- *     that the home node can admit as large a request as without floors
+ * @param tolerance by how much the limit may be passed; empty for not at all. The bursts of all
+ *     floors come out of it, so that the home node can admit as large a request as without floors
  */
 public record LimiterSettings(
         NodeName node,
@@ -50,7 +51,7 @@
         long messageLifetimeMilliseconds,
         long prefetchMilliseconds,
         boolean floorFirst,
-        boolean floorBurstExtra) {
+        Optional<LimitTolerance> tolerance) {
     /** Checks the ranges. */
     public LimiterSettings {
         Objects.requireNonNull(node, "node");
@@ -66,6 +67,7 @@
         requireInRange("maximumHolders", maximumHolders, 1, 100_000);
         requireInRange("messageLifetimeMilliseconds", messageLifetimeMilliseconds, 1, 86_400_000);
         requireInRange("prefetchMilliseconds", prefetchMilliseconds, 0, 60_000);
+        Objects.requireNonNull(tolerance, "tolerance");
     }
 
     /** Returns a builder with the defaults for a fleet of up to nine nodes. */
@@ -97,7 +99,7 @@
         private long mMessageLifetimeMilliseconds = 600_000;
         private long mPrefetchMilliseconds = 1_200;
         private boolean mFloorFirst;
-        private boolean mFloorBurstExtra;
+        private Optional<LimitTolerance> mTolerance = Optional.empty();
 
         private Builder(NodeName node, long incarnation) {
             mNode = node;
@@ -182,9 +184,9 @@
             return this;
         }
 
-        /** Sets whether the bursts of all floors come on top of the limit's. */
-        public Builder floorBurstExtra(boolean extra) {
-            mFloorBurstExtra = extra;
+        /** Sets by how much the limit may be passed. */
+        public Builder tolerance(LimitTolerance tolerance) {
+            mTolerance = Optional.of(tolerance);
             return this;
         }
 
@@ -206,7 +208,7 @@
                     mMessageLifetimeMilliseconds,
                     mPrefetchMilliseconds,
                     mFloorFirst,
-                    mFloorBurstExtra);
+                    mTolerance);
         }
     }
 }
--- a/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
@@ -149,7 +149,7 @@
             mPauseMilliseconds = LEAST_PAUSE_MILLISECONDS;
             addGrant(answer, nowMilliseconds);
             boolean ahead = answer.getGrantedTokens() >= mWaitingTokens;
-            if (ahead && answer.getGrantedTokens() < mLink.wantedTokens()) {
+            if ((ahead || holdsAhead()) && answer.getGrantedTokens() < mLink.wantedTokens()) {
                 mLink.pause(nowMilliseconds + SCARCE_PAUSE_MILLISECONDS, 1);
             }
         } else if (mLink.wantedTokens() > 0) {
@@ -291,6 +291,11 @@
         mOutbox.send(mLink.home(), LimitsMessage.newBuilder().setGrantRequest(request).build());
     }
 
+    /** Returns whether tokens are held ahead of requests, of which the home node then has few. */
+    private boolean holdsAhead() {
+        return mSettings.prefetchMilliseconds() > 0;
+    }
+
     private long target() {
         return mDemand.tokensPerSecond()
                 * mSettings.prefetchMilliseconds()
@@ -314,7 +319,8 @@
 
     private void pause(long retryAfterMilliseconds, long nowMilliseconds) {
         long pause = Math.max(mPauseMilliseconds, retryAfterMilliseconds);
-        long refusedTokens = mWaiting.isEmpty() ? 1 : mWaiting.getFirst().tokens();
+        boolean any = mWaiting.isEmpty() || holdsAhead();
+        long refusedTokens = any ? 1 : mWaiting.getFirst().tokens();
         mLink.pause(nowMilliseconds + Math.min(MOST_PAUSE_MILLISECONDS, pause), refusedTokens);
         mPauseMilliseconds = Math.min(MOST_PAUSE_MILLISECONDS, 2 * mPauseMilliseconds);
     }
--- a/limits/src/main/java/org/foxtailridge/limits/grant/LimitParts.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/LimitParts.java
@@ -31,7 +31,10 @@
     static LimitParts of(TokenLimit limit, LimiterSettings settings, long nodes) {
         long rate = afterDrift(limit.rateTokensPerSecond() * MILLI, settings);
         long floorRate = rate / PERCENT * settings.floorPercent() / nodes;
-        long floorBurst = limit.burstTokens() * settings.floorPercent() / PERCENT / nodes;
+        long floorBurst =
+                settings.tolerance()
+                        .map(tolerance -> tolerance.floorTokens(limit) / nodes)
+                        .orElse(limit.burstTokens() * settings.floorPercent() / PERCENT / nodes);
         long floorCapacity = floorBurst - earlyTokens(floorRate);
         if (floorCapacity <= 0) {
             floorRate = 0;
@@ -40,7 +43,7 @@
         }
         long homeRate = rate - floorRate * nodes;
         long homeBurst =
-                settings.floorBurstExtra()
+                settings.tolerance().isPresent()
                         ? limit.burstTokens()
                         : limit.burstTokens() - floorBurst * nodes;
         long homeCapacity = Math.max(1, homeBurst - earlyTokens(homeRate));
--- a/limits/src/test/java/org/foxtailridge/limits/grant/LimitWindowTest.java
+++ b/limits/src/test/java/org/foxtailridge/limits/grant/LimitWindowTest.java
@@ -2,10 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.stream.LongStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
+import org.foxtailridge.limits.LimitTolerance;
 import org.junit.jupiter.api.Test;
 
 /** Checks that all nodes together never exceed burst plus rate times time, whatever fails. */
@@ -22,6 +25,17 @@
         assertThat(fleet.overTokens()).as("tokens over the limit, seed %d", seed).isZero();
     }
 
+    @Property(seed = "4102", tries = 5_000, shrinking = ShrinkingMode.OFF)
+    void should_stay_within_limit_and_tolerance_when_floors_are_used_first(@ForAll long seed) {
+        // GIVEN
+        LimitTolerance tolerance = new LimitTolerance(Duration.ofSeconds(8), 0.1, 2_000);
+        LimitsFleet fleet = new LimitsFleet(seed, new GrantRules(), Optional.of(tolerance));
+        // WHEN
+        fleet.run(STEPS);
+        // THEN
+        assertThat(fleet.overTokens()).as("tokens over the limit, seed %d", seed).isZero();
+    }
+
     @Test
     void should_grant_most_of_the_limit_in_spite_of_the_faults() {
         // GIVEN
--- a/node/src/main/java/org/foxtailridge/node/settings/ForwardingSettingsFile.java
+++ b/node/src/main/java/org/foxtailridge/node/settings/ForwardingSettingsFile.java
@@ -10,6 +10,7 @@
 import org.foxtailridge.execution.retry.FleetRetrySettings;
 import org.foxtailridge.forwarding.endpoint.EndpointAddress;
 import org.foxtailridge.forwarding.node.ForwardingSettings;
+import org.foxtailridge.limits.LimitTolerance;
 
 /**
  * Settings file of a node that forwards requests.
@@ -22,6 +23,7 @@
 public final class ForwardingSettingsFile {
     private static final long DAY_MILLISECONDS = 86_400_000;
     private static final long MOST_RETRIES = 1_000_000;
+    private static final long MOST_TOKENS = 1_000_000_000;
 
     private static final Setting LABEL =
             Setting.requiredText("node.name", "Name of the VM, for the log.");
@@ -77,6 +79,30 @@
                     100,
                     DAY_MILLISECONDS,
                     "Time over which retries are counted.");
+    private static final Setting TOLERANCE_WINDOW =
+            Setting.number(
+                    "limits.tolerance_window_milliseconds",
+                    "milliseconds",
+                    8_000,
+                    100,
+                    DAY_MILLISECONDS,
+                    "Time over which the use of a client account is held against its limit.");
+    private static final Setting TOLERANCE_SHARE =
+            Setting.decimal(
+                    "limits.tolerance_share",
+                    "-",
+                    0,
+                    0,
+                    1,
+                    "Part of a limit by which it may be passed within the window.");
+    private static final Setting TOLERANCE_TOKENS =
+            Setting.number(
+                    "limits.tolerance_tokens",
+                    "tokens",
+                    0,
+                    0,
+                    MOST_TOKENS,
+                    "Tokens by which a limit may be passed within the window beyond that part.");
     private static final Setting CUT_WITHDRAWN =
             Setting.flag(
                     "keys.cut_withdrawn",
@@ -114,6 +140,9 @@
                     RETRY_SHARE,
                     RETRY_ALLOWANCE,
                     RETRY_WINDOW,
+                    TOLERANCE_WINDOW,
+                    TOLERANCE_SHARE,
+                    TOLERANCE_TOKENS,
                     CUT_WITHDRAWN,
                     ORDER_PAUSE,
                     LOGGED_REQUESTS);
@@ -151,6 +180,10 @@
                         Duration.ofMillis(mFile.number(RETRY_WINDOW)),
                         mFile.decimal(RETRY_SHARE),
                         mFile.decimal(RETRY_ALLOWANCE)),
+                new LimitTolerance(
+                        Duration.ofMillis(mFile.number(TOLERANCE_WINDOW)),
+                        mFile.decimal(TOLERANCE_SHARE),
+                        mFile.number(TOLERANCE_TOKENS)),
                 mFile.flag(CUT_WITHDRAWN),
                 Duration.ofMillis(mFile.number(ORDER_PAUSE)).plus(ORDER_MARGIN),
                 Duration.ofMillis(mFile.number(STOP)),
