--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -192,7 +192,7 @@
 
     @Override
     public void fail(ErrorKind kind, long retryAfterMilliseconds) {
-        mForwarder.answer(mCaller, mTerms.facts(), kind, retryAfterMilliseconds);
+        mForwarder.fail(mCaller, mTerms, kind, retryAfterMilliseconds);
     }
 
     @Override
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -60,6 +60,7 @@
     private final Supplier<Optional<ForwardingConfiguration>> mConfiguration;
     private final Map<String, ForwardedRequest> mRequests = new HashMap<>();
     private final ForwardedDemand mDemand;
+    private final RetryAfterRule mRetryAfter;
     private RequestScheduler mScheduler;
     private long mNextRun;
     private boolean mStopping;
@@ -79,6 +80,7 @@
         mRoster = Objects.requireNonNull(roster, "roster");
         mConfiguration = Objects.requireNonNull(configuration, "configuration");
         mDemand = new ForwardedDemand(parts.clock());
+        mRetryAfter = new RetryAfterRule(parts.random());
     }
 
     /** Sets the queue; before the first request. */
@@ -239,8 +241,14 @@
         mDemand.ended(request.terms());
     }
 
-    /** Answers with a failure of this node. */
-    void answer(CallerExchange exchange, RequestFacts facts, ErrorKind kind, long retryAfterMs) {
+    /** Answers a request that was taken on with a failure of this node. */
+    void fail(CallerExchange exchange, RequestTerms terms, ErrorKind kind, long retryAfterMs) {
+        long hint = mRetryAfter.milliseconds(terms, kind, retryAfterMs, mParts.clock().millis());
+        answer(exchange, terms.facts(), kind, hint);
+    }
+
+    private void answer(
+            CallerExchange exchange, RequestFacts facts, ErrorKind kind, long retryAfterMs) {
         ErrorAnswer answer = ErrorTable.answerTo(kind);
         byte[] body = FailureBody.of(kind, "request " + facts.requestId());
         OptionalLong retryAfter =
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/RetryAfterRule.java
@@ -0,0 +1,44 @@
+package org.foxtailridge.forwarding.front;
+
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+import org.foxtailridge.core.error.ErrorKind;
+import org.foxtailridge.forwarding.request.RequestTerms;
+
+/**
+ * When a caller that was refused is to come back: when there is likely to be room, and not all
+ * callers at the same moment.
+ */
+final class RetryAfterRule {
+    // A place is free again, or tokens are there again, within a fraction of a second mostly.
+    private static final long SHORT_MILLISECONDS = 300;
+    // A model that no engine holds is loaded from a disk within a second or two, and from the
+    // weight store within a few more.
+    private static final long MODEL_MILLISECONDS = 2_500;
+    private static final double SPREAD = 0.5;
+    // Callers wait for a third of the time that they have left at most.
+    private static final int PATIENCE_DIVISOR = 3;
+
+    private final RandomGenerator mRandom;
+
+    RetryAfterRule(RandomGenerator random) {
+        mRandom = Objects.requireNonNull(random, "random");
+    }
+
+    /**
+     * Returns the time after which to come back, in milliseconds.
+     *
+     * @param terms terms of the request
+     * @param kind why it was refused
+     * @param hint time that whoever refused it knows of, in milliseconds; 0 for none
+     * @param now instant, in milliseconds since the epoch
+     */
+    long milliseconds(RequestTerms terms, ErrorKind kind, long hint, long now) {
+        boolean modelMissing = kind == ErrorKind.NO_ENDPOINT && terms.facts().model().isPresent();
+        long known = hint > 0 ? hint : SHORT_MILLISECONDS;
+        long base = modelMissing ? MODEL_MILLISECONDS : known;
+        long spread = Math.round(base * (1 + SPREAD * mRandom.nextDouble()));
+        long patience = (terms.endsMilliseconds() - now) / PATIENCE_DIVISOR;
+        return Math.max(1, Math.min(spread, patience));
+    }
+}
--- /dev/null
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
@@ -0,0 +1,87 @@
+package org.foxtailridge.forwarding.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.foxtailridge.core.error.ErrorKind;
+import org.foxtailridge.forwarding.configuration.ForwardingRoute;
+import org.foxtailridge.forwarding.configuration.RequestKind;
+import org.foxtailridge.forwarding.configuration.WeightedService;
+import org.foxtailridge.forwarding.request.RequestFacts;
+import org.foxtailridge.forwarding.request.RequestTerms;
+import org.foxtailridge.forwarding.request.WantedModel;
+import org.junit.jupiter.api.Test;
+
+/** The pattern: many callers ask for a model that no engine holds, and are told when to return. */
+class RetryAfterRuleTest {
+    private final RetryAfterRule mRule = new RetryAfterRule(new SplittableRandom(5));
+
+    @Test
+    void should_send_callers_of_a_missing_model_back_when_it_can_be_loaded() {
+        assertThat(mRule.milliseconds(terms("m", 15_000), ErrorKind.NO_ENDPOINT, 0, 0))
+                .isBetween(2_500L, 3_750L);
+    }
+
+    @Test
+    void should_spread_the_return_of_callers() {
+        LongStream returns =
+                LongStream.generate(
+                                () ->
+                                        mRule.milliseconds(
+                                                terms("m", 15_000), ErrorKind.NO_ENDPOINT, 0, 0))
+                        .limit(100);
+        assertThat(returns.distinct().count()).isGreaterThan(50);
+    }
+
+    @Test
+    void should_never_ask_for_more_patience_than_a_caller_has() {
+        assertThat(mRule.milliseconds(terms("m", 3_000), ErrorKind.NO_ENDPOINT, 0, 0))
+                .isEqualTo(1_000);
+        assertThat(mRule.milliseconds(terms("m", 3_000), ErrorKind.NO_ENDPOINT, 0, 2_999))
+                .isEqualTo(1);
+    }
+
+    @Test
+    void should_keep_to_the_time_at_which_tokens_are_there_again() {
+        assertThat(mRule.milliseconds(terms("m", 15_000), ErrorKind.RATE_EXCEEDED, 700, 0))
+                .isBetween(700L, 1_050L);
+    }
+
+    private static RequestTerms terms(String model, long endsMilliseconds) {
+        ForwardingRoute route =
+                new ForwardingRoute(
+                        "route",
+                        "host",
+                        "/",
+                        RequestKind.STREAM,
+                        Duration.ofMillis(endsMilliseconds),
+                        Duration.ofMillis(400),
+                        0,
+                        List.of(new WeightedService("service", 1)),
+                        1,
+                        true,
+                        false,
+                        Optional.empty());
+        RequestFacts facts =
+                new RequestFacts(
+                        "request",
+                        "host",
+                        "/",
+                        Optional.empty(),
+                        OptionalLong.empty(),
+                        Optional.of(new WantedModel(model, Optional.empty())),
+                        OptionalInt.empty(),
+                        OptionalInt.empty(),
+                        OptionalInt.empty(),
+                        List.of(),
+                        Optional.empty());
+        return new RequestTerms(
+                "run", facts, route, "service", Optional.empty(), 0, endsMilliseconds, 0, 0);
+    }
+}
--- a/limits/src/main/java/org/foxtailridge/limits/LimitTolerance.java
+++ b/limits/src/main/java/org/foxtailridge/limits/LimitTolerance.java
@@ -12,7 +12,7 @@
  */
 public record LimitTolerance(Duration window, double share, long tokens) {
     private static final double MILLISECONDS_PER_SECOND = 1_000;
-    // The rest covers tokens on their way when homes and nodes change.
+    // The rest covers the quarter of a floor that a process starts with.
     private static final double PART_USED = 0.8;
 
     /** Checks that nothing is negative. */
--- a/limits/src/main/java/org/foxtailridge/limits/grant/Floor.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/Floor.java
@@ -16,6 +16,7 @@
     private final TokenBucket mBucket;
     private final long mActiveFromMilliseconds;
     private LimitParts mParts;
+    private boolean mBegun;
     private long mLentTokens;
     private long mLendFromMilliseconds;
 
@@ -30,6 +31,10 @@
         mBucket.advance(nowMilliseconds);
         if (nowMilliseconds >= mActiveFromMilliseconds) {
             mBucket.change(mParts.floorMilliTokensPerSecond(), mParts.floorCapacityTokens());
+            if (!mBegun) {
+                mBegun = true;
+                mBucket.add(mParts.floorCapacityTokens() * mParts.floorStartEighths() / EIGHTHS);
+            }
         }
     }
 
--- a/limits/src/main/java/org/foxtailridge/limits/grant/LimitParts.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/LimitParts.java
@@ -13,12 +13,16 @@
  * @param homeCapacityTokens capacity of the home node's bucket
  * @param floorMilliTokensPerSecond refill of one node's floor, in thousandths of a token
  * @param floorCapacityTokens capacity of one node's floor
+ * @param floorStartEighths eighths of its floor that a process may use at its start, although the
+ *     process before may just have used it
  */
 record LimitParts(
         long homeMilliTokensPerSecond,
         long homeCapacityTokens,
         long floorMilliTokensPerSecond,
-        long floorCapacityTokens) {
+        long floorCapacityTokens,
+        long floorStartEighths) {
+    private static final long TOLERATED_START_EIGHTHS = 2;
     private static final long PERCENT = 100;
     private static final long MILLI = 1_000;
     private static final long MILLION = 1_000_000;
@@ -47,7 +51,8 @@
                         ? limit.burstTokens()
                         : limit.burstTokens() - floorBurst * nodes;
         long homeCapacity = Math.max(1, homeBurst - earlyTokens(homeRate));
-        return new LimitParts(homeRate, homeCapacity, floorRate, floorCapacity);
+        long start = settings.tolerance().isPresent() ? TOLERATED_START_EIGHTHS : 0;
+        return new LimitParts(homeRate, homeCapacity, floorRate, floorCapacity, start);
     }
 
     private static long afterDrift(long milliTokens, LimiterSettings settings) {
