Close connections whose answers end after a stop has begun

Change: whether the connection stays open is asked again at the end of the answer, and answers say so from SIGTERM on. Test: CallerConnectionTest, failed first.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/ChannelExchange.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/ChannelExchange.java
@@ -106,7 +106,8 @@
         mEnded = true;
         mRequest.release();
         mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        mConnection.exchangeEnded(mKeepOpen);
+        // A stop may have begun since the head of the answer said that the connection stays open.
+        mConnection.exchangeEnded(mKeepOpen && !mHandler.isStopping());
     }
 
     @Override
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -156,6 +156,7 @@
         LogEvent.named("node_stopping")
                 .number("requests_under_way", mForwarder.underWay())
                 .writeTo(LOGGER);
+        mForwarder.stop();
         mDuties.giveUpAll();
         mMembers.leave();
         if (mEntered) {
@@ -201,7 +202,6 @@
 
     /** Finishes what is under way; the connections that wait for requests are closed first. */
     private void drain(long began, CompletableFuture<Void> stopped) {
-        mForwarder.stop();
         mCallers.stopListening();
         mCallers.closeIdle();
         long most = mSettings.stopTime().minus(KILL_MARGIN).toMillis();
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/CallerConnectionTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/CallerConnectionTest.java
@@ -175,6 +175,19 @@
         assertThat(mChannel.isActive()).isFalse();
     }
 
+    @Test
+    void should_close_after_an_answer_that_began_before_the_stop() {
+        // GIVEN an answer whose head does not say that the connection is closed
+        receive(REQUEST);
+        CallerExchange exchange = mHandler.last();
+        exchange.begin(200, "OK", new DefaultHttpHeaders(), OptionalLong.empty());
+        // WHEN
+        mHandler.mStopping = true;
+        exchange.end();
+        // THEN no further request is taken on the connection
+        assertThat(mChannel.isActive()).isFalse();
+    }
+
     private void receive(String bytes) {
         mChannel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.UTF_8));
     }
