--- a/forwarding/src/main/java/org/foxtailridge/forwarding/configuration/ForwardingRoute.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/configuration/ForwardingRoute.java
@@ -20,6 +20,8 @@
  * @param open whether requests need no key
  * @param resumable whether a stream may be continued by another run
  * @param targetPause longest pause between two events that is on time; empty when not bounded
+ * @param eventPatience time without an event after which callers leave a stream; empty when they
+ *     wait to the end
  */
 public record ForwardingRoute(
         String name,
@@ -33,7 +35,8 @@
         int maximumEndpoints,
         boolean open,
         boolean resumable,
-        Optional<Duration> targetPause) {
+        Optional<Duration> targetPause,
+        Optional<Duration> eventPatience) {
     /** Checks the parts and copies the list. */
     public ForwardingRoute {
         Objects.requireNonNull(name, "name");
@@ -43,6 +46,7 @@
         Objects.requireNonNull(timeout, "timeout");
         Objects.requireNonNull(targetLatency, "targetLatency");
         Objects.requireNonNull(targetPause, "targetPause");
+        Objects.requireNonNull(eventPatience, "eventPatience");
         services = List.copyOf(services);
         if (services.isEmpty() || maximumEndpoints < 1) {
             throw new IllegalArgumentException(
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -51,8 +51,6 @@
     private static final long MILLISECONDS_PER_SECOND = 1_000;
     // A place is free again, or tokens are there again, within a fraction of a second mostly.
     private static final long SHORT_RETRY_MILLISECONDS = 300;
-    // Part of its time that a request needs to be answered once it was sent.
-    private static final int RUN_SHARE = 8;
     private static final long SECONDS_UNKNOWN = 0;
 
     private final ForwarderParts mParts;
@@ -208,8 +206,6 @@
             return;
         }
         RequestFacts facts = terms.facts();
-        long time = terms.endsMilliseconds() - terms.arrivedMilliseconds();
-        Instant startBy = Instant.ofEpochMilli(terms.endsMilliseconds() - time / RUN_SHARE);
         int output = facts.maximumOutputTokens().orElse(0);
         mScheduler.submit(
                 RouteRequest.builder(terms.runId(), RequestTargets.targetOf(service.get(), facts))
@@ -218,7 +214,7 @@
                         .maximumTokens(
                                 Math.min(output, facts.expectedOutputTokens().orElse(output)))
                         .prefixes(RequestTargets.prefixesOf(facts))
-                        .deadline(startBy)
+                        .deadline(Instant.ofEpochMilli(terms.startByMilliseconds()))
                         .excluded(excluded)
                         .begun(begun)
                         .build());
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestTerms.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestTerms.java
@@ -48,4 +48,19 @@
     public String accountName() {
         return account.map(ForwardingAccount::name).orElse("");
     }
+
+    /**
+     * Returns the instant by which an endpoint has to be found, in milliseconds since the epoch: in
+     * time for an answer, and before the caller leaves because no event has come.
+     */
+    public long startByMilliseconds() {
+        long time = endsMilliseconds - arrivedMilliseconds;
+        long forAnswer = endsMilliseconds - time / LifeTimes.RUN_SHARE;
+        long forFirstEvent =
+                route.eventPatience()
+                        .map(patience -> arrivedMilliseconds + patience.toMillis())
+                        .map(leaves -> leaves - LifeTimes.FIRST_EVENT_MILLISECONDS)
+                        .orElse(endsMilliseconds);
+        return Math.min(forAnswer, forFirstEvent);
+    }
 }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
@@ -67,6 +67,7 @@
                         1,
                         true,
                         false,
+                        Optional.empty(),
                         Optional.empty());
         RequestFacts facts =
                 new RequestFacts(
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestLifeTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestLifeTest.java
@@ -356,6 +356,7 @@
                         endpoints,
                         !limited,
                         resumable,
+                        Optional.empty(),
                         Optional.empty());
         RequestFacts facts =
                 new RequestFacts(
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementSettings.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementSettings.java
@@ -47,7 +47,7 @@
                 Duration.ofSeconds(15),
                 Duration.ofMillis(20),
                 Duration.ofMillis(250),
-                0.5,
+                0.4,
                 3,
                 8,
                 3,
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -101,7 +101,10 @@
     private int needed(String model) {
         double demand = mDemands.of(model);
         int byLoad = (int) Math.ceil(demand / (mPool.slots() * mSettings.fillTarget()));
-        int least = demand >= mSettings.activeRequests() ? 2 : 1;
+        boolean active = demand >= mSettings.activeRequests();
+        // Until anything was asked for, the copies at the start are all that is known of demand.
+        boolean popular = !mDemands.isKnown() && copies(model) > 1;
+        int least = active || popular ? 2 : 1;
         long usable = mEngines.stream().filter(engine -> engine.view().usable()).count();
         return (int) Math.min(usable, Math.max(least, byLoad));
     }
--- a/placement/src/main/java/org/foxtailridge/placement/announced/ModelDemands.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/ModelDemands.java
@@ -15,6 +15,7 @@
     private final Map<String, NodeDemand> mNodes = new HashMap<>();
     private final Map<String, Double> mSmoothed = new HashMap<>();
     private long mSmoothedMilliseconds;
+    private boolean mKnown;
 
     ModelDemands(double memoryMilliseconds, long reportLifeMilliseconds) {
         mMemoryMilliseconds = memoryMilliseconds;
@@ -38,10 +39,16 @@
                     double current = sums.getOrDefault(name, 0.0);
                     return Math.max(current, current + (level - current) * kept);
                 });
+        mKnown |= !sums.isEmpty();
         sums.forEach((name, current) -> mSmoothed.merge(name, current, Math::max));
         mSmoothed.values().removeIf(level -> level < FORGOTTEN);
     }
 
+    /** Returns whether anything was asked for yet; until then what engines hold is all there is. */
+    boolean isKnown() {
+        return mKnown;
+    }
+
     double of(String name) {
         return mSmoothed.getOrDefault(name, 0.0);
     }
--- a/placement/src/test/java/org/foxtailridge/placement/announced/AnnouncedPlacementTest.java
+++ b/placement/src/test/java/org/foxtailridge/placement/announced/AnnouncedPlacementTest.java
@@ -102,6 +102,23 @@
         assertThat(fleet.copies("m0")).isPositive();
     }
 
+    @Test
+    void should_keep_two_of_the_copies_that_engines_start_with_before_anything_is_asked_for() {
+        // GIVEN a model that engines hold more often than any other, and two models without a copy
+        Fleet fleet = new Fleet(pool(5), 2);
+        fleet.engine(0).hold("m0");
+        fleet.engine(0).hold("m1");
+        fleet.engine(1).hold("m0");
+        fleet.engine(1).hold("m3");
+        fleet.lease(1);
+
+        // WHEN
+        fleet.run(10_000);
+
+        // THEN
+        assertThat(fleet.copies("m0")).isEqualTo(2);
+    }
+
     @Test
     void should_give_a_crowded_model_a_second_copy() {
         // GIVEN
