Hold requests back that crash the endpoints that run them

Ruled out: the product's quarantine, which asks a home node before each run: a message for each request. A count for good: a request blamed wrongly would be shut out. Change: CrashLedger counts a break of a connection when the endpoint gives no other answer within 0.4 s, tells the nodes of it by datagram twice, holds a request back for a minute after the third crash and twice as long after each further one; a whole answer clears it everywhere. SIGHUP no longer says in the log that settings were reloaded, which they are not. Before and after: CrashLedgerTest, 9 tests (no ledger before). Conclusion: shown by unit tests only.

--- /dev/null
+++ b/execution/src/main/java/org/foxtailridge/execution/crash/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that take endpoints down with them, counted over the fleet. */
+package org.foxtailridge.execution.crash;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -68,7 +68,7 @@
         boolean streams = terms.route().kind() == RequestKind.STREAM;
         mRelay = new AnswerRelay(caller, parts.dialect(), streams);
         mLines = parts.log().lines();
-        mLife = new RequestLife(terms, parts.retries()::take, parts.clock(), this, mLines);
+        mLife = new RequestLife(terms, this::mayRetry, parts.clock(), this, mLines);
     }
 
     void start() {
@@ -262,6 +262,7 @@
             case SUCCESS, REJECTION -> {
                 tellFirstToken();
                 mRelay.complete();
+                mParts.crashes().answered(mTerms.fingerprint(), mLife.endpoint());
                 mLife.answerComplete();
             }
             case FAILURE -> {
@@ -283,9 +284,17 @@
     public void failed(AttemptFailure failure, String reason) {
         mExchange = null;
         mLines.exchangeFailed(mTerms, mLife.endpoint(), reason);
+        if (failure == AttemptFailure.BROKEN) {
+            mParts.crashes().broken(mTerms.fingerprint(), mLife.endpoint());
+        }
         mLife.attemptFailed(failure, false);
     }
 
+    private boolean mayRetry(String service) {
+        return mParts.crashes().heldBackMilliseconds(mTerms.fingerprint()) == 0
+                && mParts.retries().take(service);
+    }
+
     private void keepAnswer() {
         if (mKeptAnswer != null) {
             mKeptAnswer.release();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -135,6 +135,11 @@
             return;
         }
         RequestTerms terms = decision.terms().get();
+        long heldBack = mParts.crashes().heldBackMilliseconds(terms.fingerprint());
+        if (heldBack > 0) {
+            refuse(exchange, facts, ErrorKind.NO_ENDPOINT, "endpoints were lost with it", heldBack);
+            return;
+        }
         mParts.retries().requested(terms.service());
         ForwardedRequest request = new ForwardedRequest(this, mParts, exchange, terms);
         mRequests.put(terms.runId(), request);
@@ -263,8 +268,17 @@
 
     private void refuse(
             CallerExchange exchange, RequestFacts facts, ErrorKind kind, String reason) {
+        refuse(exchange, facts, kind, reason, SECONDS_UNKNOWN);
+    }
+
+    private void refuse(
+            CallerExchange exchange,
+            RequestFacts facts,
+            ErrorKind kind,
+            String reason,
+            long retryAfterMs) {
         mParts.log().refused(facts, kind, reason);
-        answer(exchange, facts, kind, SECONDS_UNKNOWN);
+        answer(exchange, facts, kind, retryAfterMs);
     }
 
     private void refusedUnread(CallerExchange exchange, MalformedHeadException malformed) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwarderParts.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwarderParts.java
@@ -4,6 +4,7 @@
 import java.time.Clock;
 import java.util.Objects;
 import java.util.random.RandomGenerator;
+import org.foxtailridge.execution.crash.CrashLedger;
 import org.foxtailridge.execution.retry.FleetRetryBudget;
 import org.foxtailridge.forwarding.http.EndpointConnections;
 import org.foxtailridge.forwarding.http.RequestDialect;
@@ -19,6 +20,7 @@
  * @param connections connections to endpoints
  * @param limiter limits of client accounts
  * @param retries budget of retries
+ * @param crashes requests that crash endpoints
  * @param adapters loads adapters
  * @param log told of decisions
  */
@@ -30,6 +32,7 @@
         EndpointConnections connections,
         TokenLimiter limiter,
         FleetRetryBudget retries,
+        CrashLedger crashes,
         AdapterPreparation adapters,
         RequestLog log) {
     /** Checks that no part is missing. */
@@ -41,6 +44,7 @@
         Objects.requireNonNull(connections, "connections");
         Objects.requireNonNull(limiter, "limiter");
         Objects.requireNonNull(retries, "retries");
+        Objects.requireNonNull(crashes, "crashes");
         Objects.requireNonNull(adapters, "adapters");
         Objects.requireNonNull(log, "log");
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -68,6 +68,7 @@
     private final NodeEndpoints mEndpoints;
     private final NodeStreams mStreams;
     private final FleetRetryBudget mRetries;
+    private final NodeCrashes mCrashes;
     private final EndpointConnections mConnections;
     private final RequestScheduler mScheduler;
     private final Forwarder mForwarder;
@@ -95,6 +96,7 @@
                 new NodePlacement(
                         settings, loop, clock, outside.engines(), mMembers, mDuties, mNetwork);
         mRetries = new FleetRetryBudget(settings.retries(), clock);
+        mCrashes = new NodeCrashes(clock, mMembers, mNetwork);
         mConnections = new EndpointConnections(loop, ConnectionSettings.defaults(), clock);
         ExpectedTimeRouter router =
                 ExpectedTimeRouter.create(clock, routing(settings), incarnation);
@@ -232,6 +234,7 @@
                         mConnections,
                         mLimits.limiter(),
                         mRetries,
+                        mCrashes.ledger(),
                         mPlacement,
                         log);
         return new Forwarder(parts, new LateRoster(() -> mEndpoints), this::configuration);
@@ -276,6 +279,7 @@
         mDuties.tick();
         mLimits.tick(mMembers);
         mEndpoints.tick();
+        mCrashes.ledger().tick();
         mRetries.nodes(mMembers.fleetSize());
         mScheduler.tick();
         mCallers.tick();
--- a/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
+++ b/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
@@ -92,7 +92,11 @@
                 new Signal("TERM"),
                 signal -> loop.execute(() -> node.stop().thenRun(stopped::countDown)));
         Signal.handle(
-                new Signal("HUP"), signal -> LogEvent.named("settings_reloaded").writeTo(LOGGER));
+                new Signal("HUP"),
+                signal ->
+                        LogEvent.named("reload_ignored")
+                                .text("reason", "settings are read at the start only")
+                                .writeTo(LOGGER));
         node.start();
         stopped.await();
         LogManager.shutdown();
