--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
@@ -14,20 +14,15 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.name.EndpointName;
 import org.foxtailridge.core.name.NodeName;
-import org.foxtailridge.forwarding.configuration.EnginePool;
 import org.foxtailridge.forwarding.configuration.ForwardingConfiguration;
 import org.foxtailridge.forwarding.configuration.ForwardingService;
-import org.foxtailridge.forwarding.configuration.ListedModel;
 import org.foxtailridge.forwarding.endpoint.EndpointAnnouncement;
 import org.foxtailridge.forwarding.endpoint.EndpointListener;
-import org.foxtailridge.forwarding.endpoint.HeldModel;
 import org.foxtailridge.forwarding.engine.EngineControl;
 import org.foxtailridge.forwarding.engine.EngineReport;
 import org.foxtailridge.forwarding.front.AdapterPreparation;
@@ -38,10 +33,8 @@
 import org.foxtailridge.placement.announced.AnnouncedPlacement;
 import org.foxtailridge.placement.announced.AnnouncedPlacementOutbox;
 import org.foxtailridge.placement.announced.AnnouncedPlacementSettings;
-import org.foxtailridge.placement.announced.EngineView;
 import org.foxtailridge.placement.announced.ModelOrder;
 import org.foxtailridge.placement.announced.ModelOrderAnswer;
-import org.foxtailridge.placement.announced.ModelSize;
 import org.foxtailridge.placement.announced.OrderLease;
 import org.foxtailridge.placement.announced.PoolSize;
 import org.foxtailridge.protocol.envelope.Subject;
@@ -61,7 +54,6 @@
     // Reports are some hundred milliseconds old, so that asking more often brings nothing.
     private static final long ASK_PAUSE_MILLISECONDS = 100;
     private static final long DEMAND_MILLISECONDS = 300;
-    private static final long ADAPTER_WAIT_MILLISECONDS = 350;
 
     private final ForwardingSettings mSettings;
     private final EventLoop mLoop;
@@ -71,7 +63,7 @@
     private final NodeDuties mDuties;
     private final DatagramNetwork mNetwork;
     private final AnnouncedPlacement mPlacement;
-    private final Map<AdapterKey, List<Preparation>> mPreparations = new HashMap<>();
+    private final AdapterWaits mWaits;
     private final Set<String> mAsked = new HashSet<>();
     private final Map<String, Long> mAskedMilliseconds = new HashMap<>();
     private NodeEndpoints mEndpoints;
@@ -93,6 +85,7 @@
         mMembers = members;
         mDuties = duties;
         mNetwork = network;
+        mWaits = new AdapterWaits(loop);
         mPlacement = new AnnouncedPlacement(AnnouncedPlacementSettings.defaults(), clock, this);
         network.receive(Subject.PLACEMENT, this::receive);
     }
@@ -105,7 +98,8 @@
     void configurationChanged(ForwardingConfiguration configuration) {
         List<PoolSize> pools = new ArrayList<>();
         for (ForwardingService service : configuration.services()) {
-            service.engines().ifPresent(engines -> pools.add(pool(service.name(), engines)));
+            service.engines()
+                    .ifPresent(engines -> pools.add(EngineViews.pool(service.name(), engines)));
         }
         mPlacement.pools(pools);
         mEndpoints.all().forEach(endpoint -> announced(Optional.empty(), endpoint));
@@ -129,18 +123,7 @@
         }
         String model = RequestTargets.modelName(found.get().service(), wanted.model());
         AdapterKey key = new AdapterKey(endpoint.value(), model, wanted.adapter().orElseThrow());
-        Preparation preparation = new Preparation(done);
-        List<Preparation> waiting = mPreparations.computeIfAbsent(key, unused -> new ArrayList<>());
-        waiting.add(preparation);
-        preparation.mTimer =
-                mLoop.schedule(
-                        () -> end(key, preparation, false),
-                        ADAPTER_WAIT_MILLISECONDS,
-                        TimeUnit.MILLISECONDS);
-        if (waiting.size() == 1) {
-            ask(key);
-        }
-        return () -> cancel(key, preparation);
+        return mWaits.add(key, done, () -> ask(key));
     }
 
     @Override
@@ -211,7 +194,7 @@
     @Override
     public void announced(Optional<EndpointAnnouncement> former, EndpointAnnouncement current) {
         mPlacement.engine(
-                view(
+                EngineViews.view(
                         current,
                         OptionalLong.empty(),
                         false,
@@ -247,22 +230,6 @@
                 PlacementMessage.newBuilder().setWanted(wanted).build());
     }
 
-    private void end(AdapterKey key, Preparation preparation, boolean ready) {
-        cancel(key, preparation);
-        preparation.mDone.accept(ready);
-    }
-
-    private void cancel(AdapterKey key, Preparation preparation) {
-        preparation.mTimer.cancel(false);
-        List<Preparation> waiting = mPreparations.get(key);
-        if (waiting != null) {
-            waiting.remove(preparation);
-            if (waiting.isEmpty()) {
-                mPreparations.remove(key);
-            }
-        }
-    }
-
     private void onResidence(AdapterResidence residence) {
         mEndpoints.adapterResident(
                 residence.getEndpoint(),
@@ -273,9 +240,7 @@
         AdapterKey key =
                 new AdapterKey(
                         residence.getEndpoint(), residence.getModel(), residence.getAdapter());
-        for (Preparation preparation : List.copyOf(mPreparations.getOrDefault(key, List.of()))) {
-            end(key, preparation, residence.getResident());
-        }
+        mWaits.end(key, residence.getResident());
     }
 
     private void receive(NodeName sender, byte[] payload) {
@@ -372,7 +337,7 @@
             return;
         }
         mPlacement.engine(
-                view(
+                EngineViews.view(
                         engine,
                         OptionalLong.of(report.ordersAccepted()),
                         report.busy(),
@@ -381,71 +346,4 @@
                         report.onDisk()));
         mPlacement.tick();
     }
-
-    private static EngineView view(
-            EndpointAnnouncement engine,
-            OptionalLong orders,
-            boolean busy,
-            List<HeldModel> models,
-            List<String> inHostMemory,
-            List<String> onDisk) {
-        Map<String, List<String>> adapters = new LinkedHashMap<>();
-        models.forEach(
-                model ->
-                        adapters.put(
-                                RequestTargets.modelName(engine.service(), model.name()),
-                                model.adapters()));
-        return new EngineView(
-                engine.id(),
-                engine.service(),
-                engine.startMilliseconds(),
-                !engine.draining(),
-                orders,
-                busy,
-                adapters,
-                qualified(engine.service(), inHostMemory),
-                qualified(engine.service(), onDisk));
-    }
-
-    private static Set<String> qualified(String service, List<String> models) {
-        Set<String> names = new HashSet<>();
-        models.forEach(model -> names.add(RequestTargets.modelName(service, model)));
-        return names;
-    }
-
-    private static PoolSize pool(String service, EnginePool engines) {
-        List<ModelSize> models = new ArrayList<>();
-        for (ListedModel model : engines.models()) {
-            models.add(
-                    new ModelSize(
-                            RequestTargets.modelName(service, model.name()),
-                            model.megabytes(),
-                            model.adapterMegabytes(),
-                            seconds(model.storeLoad()),
-                            seconds(model.diskLoad()),
-                            seconds(model.memoryLoad())));
-        }
-        return new PoolSize(
-                service,
-                engines.slots(),
-                engines.megabytes(),
-                engines.adapterPlaces(),
-                engines.loadsPerSecond(),
-                models);
-    }
-
-    private static double seconds(Duration duration) {
-        return duration.toNanos() / 1e9;
-    }
-
-    private record AdapterKey(String endpoint, String model, String adapter) {}
-
-    private static final class Preparation {
-        private final Consumer<Boolean> mDone;
-        private ScheduledFuture<?> mTimer;
-
-        private Preparation(Consumer<Boolean> done) {
-            mDone = done;
-        }
-    }
 }
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
@@ -176,7 +176,7 @@
                         pool.service(), name -> new StoreLoads(mSettings.storeBurst(), now));
         store.advance(pool.storeLoadsPerSecond(), now);
         Map<String, CopyPlanner.RoomBeingMade> room =
-                mRoom.computeIfAbsent(pool.service(), name -> CopyPlanner.noRoom());
+                mRoom.computeIfAbsent(pool.service(), name -> new HashMap<>());
         new CopyPlanner(mSettings, pool, engines, mDemands, room, store, now)
                 .plan()
                 .forEach(step -> order(step.engine(), step.load(), step.model(), Optional.empty()));
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -241,10 +241,6 @@
         return Optional.of(new CopyStep(place.engine(), true, model, model));
     }
 
-    static Map<String, RoomBeingMade> noRoom() {
-        return new HashMap<>();
-    }
-
     /**
      * Room that is being made for a model.
      *
