Let one piece serve where the change had written a thing again

The load reports of clients and stand-ins stay apart on purpose: a stand-in that shares the client's types can't show that they are wrong. Change: DatagramNetwork parses and logs, NodeMembership sends to peers, CrashLedger and the forwarder use Fingerprint and make it only when a request is watched, AnnouncedPlacement names adapters, core.check.Arguments checks, dead code goes. In tests only fixtures change (a record has one part less, fingerprints are made of a number); no assertion does. The message of subject CRASHES has bytes for fingerprints; no release has the old one. Processor saved for each request: not measured.

--- a/clients/src/main/java/org/foxtailridge/clients/engine/Resident.java
+++ b/clients/src/main/java/org/foxtailridge/clients/engine/Resident.java
@@ -12,11 +12,6 @@
  */
 public record Resident(
         String kind, String name, String model, String version, long bytes, String state) {
-    /** Returns whether it can serve. */
-    public boolean isResident() {
-        return "resident".equals(state);
-    }
-
     /** Returns whether it is an adapter. */
     public boolean isAdapter() {
         return "adapter".equals(kind);
--- a/configuration/src/main/java/org/foxtailridge/configuration/follow/FollowerSettings.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/follow/FollowerSettings.java
@@ -1,7 +1,7 @@
 package org.foxtailridge.configuration.follow;
 
 import java.time.Duration;
-import java.util.Objects;
+import org.foxtailridge.core.check.Arguments;
 
 /**
  * Settings of a follower. Immutable.
@@ -144,31 +144,31 @@
 
         /** Sets the time between two requests to peers. */
         public Builder pollPeriod(Duration pollPeriod) {
-            mPollPeriod = requireTime(pollPeriod, "pollPeriod");
+            mPollPeriod = Arguments.requireTime(pollPeriod, "pollPeriod");
             return this;
         }
 
         /** Sets the time after which a peer's answer is given up. */
         public Builder requestTimeout(Duration requestTimeout) {
-            mRequestTimeout = requireTime(requestTimeout, "requestTimeout");
+            mRequestTimeout = Arguments.requireTime(requestTimeout, "requestTimeout");
             return this;
         }
 
         /** Sets the time that the log may wait for a record. */
         public Builder readWait(Duration readWait) {
-            mReadWait = requireTime(readWait, "readWait");
+            mReadWait = Arguments.requireTime(readWait, "readWait");
             return this;
         }
 
         /** Sets the time after which the log's answer is given up. */
         public Builder readTimeout(Duration readTimeout) {
-            mReadTimeout = requireTime(readTimeout, "readTimeout");
+            mReadTimeout = Arguments.requireTime(readTimeout, "readTimeout");
             return this;
         }
 
         /** Sets the time after a failed read before the next one. */
         public Builder readRetry(Duration readRetry) {
-            mReadRetry = requireTime(readRetry, "readRetry");
+            mReadRetry = Arguments.requireTime(readRetry, "readRetry");
             return this;
         }
 
@@ -177,61 +177,61 @@
          * itself.
          */
         public Builder fallbackAfter(Duration fallbackAfter) {
-            mFallbackAfter = requireTime(fallbackAfter, "fallbackAfter");
+            mFallbackAfter = Arguments.requireTime(fallbackAfter, "fallbackAfter");
             return this;
         }
 
         /** Sets the time between two such reads. */
         public Builder fallbackPeriod(Duration fallbackPeriod) {
-            mFallbackPeriod = requireTime(fallbackPeriod, "fallbackPeriod");
+            mFallbackPeriod = Arguments.requireTime(fallbackPeriod, "fallbackPeriod");
             return this;
         }
 
         /** Sets the staleness from which every other request goes to another data centre. */
         public Builder farAfter(Duration farAfter) {
-            mFarAfter = requireTime(farAfter, "farAfter");
+            mFarAfter = Arguments.requireTime(farAfter, "farAfter");
             return this;
         }
 
         /** Sets the largest number of records of one read. */
         public Builder readLimit(int readLimit) {
-            mReadLimit = requirePositive(readLimit, "readLimit");
+            mReadLimit = Arguments.requirePositive(readLimit, "readLimit");
             return this;
         }
 
         /** Sets the peers that are told of new records. */
         public Builder fanOut(int fanOut) {
-            mFanOut = requirePositive(fanOut, "fanOut");
+            mFanOut = Arguments.requirePositive(fanOut, "fanOut");
             return this;
         }
 
         /** Sets the latest records kept for peers. */
         public Builder windowRecords(int windowRecords) {
-            mWindowRecords = requirePositive(windowRecords, "windowRecords");
+            mWindowRecords = Arguments.requirePositive(windowRecords, "windowRecords");
             return this;
         }
 
         /** Sets the bytes of latest records kept for peers. */
         public Builder windowBytes(int windowBytes) {
-            mWindowBytes = requirePositive(windowBytes, "windowBytes");
+            mWindowBytes = Arguments.requirePositive(windowBytes, "windowBytes");
             return this;
         }
 
         /** Sets the bytes of records in one answer to a peer; a single larger record goes alone. */
         public Builder answerBytes(int answerBytes) {
-            mAnswerBytes = requirePositive(answerBytes, "answerBytes");
+            mAnswerBytes = Arguments.requirePositive(answerBytes, "answerBytes");
             return this;
         }
 
         /** Sets the bytes of one part of a state. */
         public Builder partBytes(int partBytes) {
-            mPartBytes = requirePositive(partBytes, "partBytes");
+            mPartBytes = Arguments.requirePositive(partBytes, "partBytes");
             return this;
         }
 
         /** Sets the largest number of parts of a state that is taken from a peer. */
         public Builder stateParts(int stateParts) {
-            mStateParts = requirePositive(stateParts, "stateParts");
+            mStateParts = Arguments.requirePositive(stateParts, "stateParts");
             return this;
         }
 
@@ -239,7 +239,7 @@
          * Sets the peers that a new node must hear before it serves while the log does not answer.
          */
         public Builder peersHeard(int peersHeard) {
-            mPeersHeard = requirePositive(peersHeard, "peersHeard");
+            mPeersHeard = Arguments.requirePositive(peersHeard, "peersHeard");
             return this;
         }
 
@@ -247,21 +247,5 @@
         public FollowerSettings build() {
             return new FollowerSettings(this);
         }
-
-        private static int requirePositive(int value, String name) {
-            if (value < 1) {
-                throw new IllegalArgumentException(name + " must be at least 1 but was " + value);
-            }
-            return value;
-        }
-
-        private static Duration requireTime(Duration value, String name) {
-            Objects.requireNonNull(value, name);
-            if (value.isNegative() || value.isZero()) {
-                throw new IllegalArgumentException(
-                        name + " must be longer than 0 but was " + value);
-            }
-            return value;
-        }
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/foxtailridge/core/check/package-info.java
@@ -0,0 +1,2 @@
+/** Checks of arguments that several modules make. */
+package org.foxtailridge.core.check;
--- a/execution/src/main/java/org/foxtailridge/execution/crash/CrashLedger.java
+++ b/execution/src/main/java/org/foxtailridge/execution/crash/CrashLedger.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.log.LogEvent;
 import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.execution.quarantine.Fingerprint;
 import org.foxtailridge.protocol.crashes.CrashesMessage;
 import org.foxtailridge.protocol.crashes.EndpointCrash;
 
@@ -43,7 +44,7 @@
     private final SuspectRequests mSuspects;
     private final List<Doubt> mDoubts = new ArrayList<>();
     private final Map<EndpointCrash, Integer> mToTell = new LinkedHashMap<>();
-    private final Map<Long, Integer> mHarmlessToTell = new LinkedHashMap<>();
+    private final Map<Fingerprint, Integer> mHarmlessToTell = new LinkedHashMap<>();
 
     /** Creates a ledger that knows of no crash. */
     public CrashLedger(Clock clock, CrashOutbox outbox) {
@@ -52,22 +53,29 @@
         mSuspects = new SuspectRequests();
     }
 
+    /** Returns whether no request is watched, so that none has to be asked about. */
+    public boolean isEmpty() {
+        return mDoubts.isEmpty() && mSuspects.isEmpty();
+    }
+
     /** Returns for how long a request is still held back, in milliseconds; 0 when it may run. */
-    public long heldBackMilliseconds(long fingerprint) {
+    public long heldBackMilliseconds(Fingerprint fingerprint) {
         return mSuspects.heldBackMilliseconds(fingerprint, mClock.millis());
     }
 
     /** The connection of an attempt broke before its answer was whole. */
-    public void broken(long fingerprint, EndpointName endpoint) {
+    public void broken(Fingerprint fingerprint, EndpointName endpoint) {
         Objects.requireNonNull(endpoint, "endpoint");
         mDoubts.add(new Doubt(fingerprint, endpoint, mClock.millis()));
     }
 
     /** An endpoint gave a whole answer to a request. */
-    public void answered(long fingerprint, EndpointName endpoint) {
+    public void answered(Fingerprint fingerprint, EndpointName endpoint) {
         if (!mDoubts.isEmpty()) {
             mDoubts.removeIf(
-                    doubt -> doubt.mEndpoint.equals(endpoint) || doubt.mFingerprint == fingerprint);
+                    doubt ->
+                            doubt.mEndpoint.equals(endpoint)
+                                    || doubt.mFingerprint.equals(fingerprint));
         }
         if (mSuspects.clear(fingerprint)) {
             mHarmlessToTell.put(fingerprint, TIMES_TOLD);
@@ -77,9 +85,10 @@
     /** Takes what another node tells. */
     public void received(CrashesMessage message) {
         for (EndpointCrash crash : message.getCrashesList()) {
-            mSuspects.add(crash.getFingerprint(), crash.getEndpoint(), mClock.millis());
+            mSuspects.add(
+                    new Fingerprint(crash.getFingerprint()), crash.getEndpoint(), mClock.millis());
         }
-        message.getHarmlessList().forEach(mSuspects::clear);
+        message.getHarmlessList().forEach(bytes -> mSuspects.clear(new Fingerprint(bytes)));
     }
 
     /** Counts the crashes that are no longer in doubt, and tells the other nodes. */
@@ -97,12 +106,12 @@
             EndpointCrash crash =
                     EndpointCrash.newBuilder()
                             .setEndpoint(endpoint)
-                            .setFingerprint(doubt.mFingerprint)
+                            .setFingerprint(doubt.mFingerprint.bytes())
                             .build();
             mToTell.put(crash, TIMES_TOLD);
             LogEvent.named("crash_counted")
                     .text("endpoint", endpoint)
-                    .text("fingerprint", Long.toHexString(doubt.mFingerprint))
+                    .text("fingerprint", doubt.mFingerprint.hexadecimal())
                     .number("held_back_ms", heldBackMilliseconds(doubt.mFingerprint))
                     .writeTo(LOGGER);
         }
@@ -116,7 +125,8 @@
         mOutbox.broadcast(
                 CrashesMessage.newBuilder()
                         .addAllCrashes(take(mToTell))
-                        .addAllHarmless(take(mHarmlessToTell))
+                        .addAllHarmless(
+                                take(mHarmlessToTell).stream().map(Fingerprint::bytes).toList())
                         .build());
     }
 
@@ -127,11 +137,11 @@
     }
 
     private static final class Doubt {
-        private final long mFingerprint;
+        private final Fingerprint mFingerprint;
         private final EndpointName mEndpoint;
         private final long mAtMilliseconds;
 
-        private Doubt(long fingerprint, EndpointName endpoint, long atMilliseconds) {
+        private Doubt(Fingerprint fingerprint, EndpointName endpoint, long atMilliseconds) {
             mFingerprint = fingerprint;
             mEndpoint = endpoint;
             mAtMilliseconds = atMilliseconds;
--- a/execution/src/main/java/org/foxtailridge/execution/crash/SuspectRequests.java
+++ b/execution/src/main/java/org/foxtailridge/execution/crash/SuspectRequests.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.foxtailridge.execution.quarantine.Fingerprint;
 
 /** Crashes of endpoints by request, bounded. The oldest requests are dropped first. */
 final class SuspectRequests {
@@ -21,10 +22,14 @@
     // About 300 bytes each.
     private static final int MOST_REQUESTS = 4_096;
 
-    private final Map<Long, Suspect> mSuspects = new LinkedHashMap<>();
+    private final Map<Fingerprint, Suspect> mSuspects = new LinkedHashMap<>();
+
+    boolean isEmpty() {
+        return mSuspects.isEmpty();
+    }
 
     /** Adds a crash; returns whether it was not known. */
-    boolean add(long fingerprint, String endpoint, long now) {
+    boolean add(Fingerprint fingerprint, String endpoint, long now) {
         Suspect suspect = mSuspects.computeIfAbsent(fingerprint, unused -> new Suspect());
         Long former = suspect.mByEndpoint.put(endpoint, now);
         boolean isNew = former == null || now - former >= SAME_CRASH_MILLISECONDS;
@@ -39,11 +44,11 @@
     }
 
     /** Forgets a request; returns whether it was known. */
-    boolean clear(long fingerprint) {
+    boolean clear(Fingerprint fingerprint) {
         return mSuspects.remove(fingerprint) != null;
     }
 
-    long heldBackMilliseconds(long fingerprint, long now) {
+    long heldBackMilliseconds(Fingerprint fingerprint, long now) {
         Suspect suspect = mSuspects.get(fingerprint);
         if (suspect == null || suspect.mCrashes < MOST_CRASHES) {
             return 0;
--- a/execution/src/main/java/org/foxtailridge/execution/quarantine/QuarantineRecord.java
+++ b/execution/src/main/java/org/foxtailridge/execution/quarantine/QuarantineRecord.java
@@ -4,8 +4,6 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.google.common.io.BaseEncoding;
-import com.google.protobuf.ByteString;
 
 /**
  * A record of the log stream {@code quarantine}, which outlives the nodes.
@@ -37,11 +35,10 @@
     public static final String CLEARED = "cleared";
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final BaseEncoding HEXADECIMAL = BaseEncoding.base16().lowerCase();
 
     static QuarantineRecord of(
             String type, Fingerprint fingerprint, EndpointStart lost, long atMilliseconds) {
-        String hexadecimal = HEXADECIMAL.encode(fingerprint.bytes().toByteArray());
+        String hexadecimal = fingerprint.hexadecimal();
         String id = type + "-" + hexadecimal + "-" + lost.endpoint() + "-" + lost.incarnation();
         return new QuarantineRecord(
                 FORMAT, type, id, hexadecimal, lost.endpoint(), lost.incarnation(), atMilliseconds);
@@ -72,7 +69,7 @@
     }
 
     Fingerprint requestFingerprint() {
-        return new Fingerprint(ByteString.copyFrom(HEXADECIMAL.decode(fingerprint)));
+        return Fingerprint.parse(fingerprint);
     }
 
     EndpointStart lost() {
--- a/execution/src/test/java/org/foxtailridge/execution/crash/CrashLedgerTest.java
+++ b/execution/src/test/java/org/foxtailridge/execution/crash/CrashLedgerTest.java
@@ -7,12 +7,13 @@
 import java.util.List;
 import org.foxtailridge.core.name.EndpointName;
 import org.foxtailridge.core.time.ManualClock;
+import org.foxtailridge.execution.quarantine.Fingerprint;
 import org.foxtailridge.protocol.crashes.CrashesMessage;
 import org.junit.jupiter.api.Test;
 
 class CrashLedgerTest {
-    private static final long POISON = 17;
-    private static final long OTHER = 18;
+    private static final Fingerprint POISON = fingerprint(17);
+    private static final Fingerprint OTHER = fingerprint(18);
 
     private final ManualClock mClock = ManualClock.atEpoch();
     private final List<CrashesMessage> mTold = new ArrayList<>();
@@ -151,7 +152,7 @@
     void should_tell_of_an_endpoint_with_many_requests_in_small_messages() {
         // GIVEN
         for (int request = 0; request < 100; request++) {
-            mHere.broken(request, EndpointName.of("a"));
+            mHere.broken(fingerprint(request), EndpointName.of("a"));
         }
 
         // WHEN
@@ -166,11 +167,15 @@
                 .hasSize(100);
     }
 
-    private void crash(long fingerprint, String endpoint) {
+    private void crash(Fingerprint fingerprint, String endpoint) {
         mHere.broken(fingerprint, EndpointName.of(endpoint));
         passDoubt(mHere);
     }
 
+    private static Fingerprint fingerprint(int request) {
+        return Fingerprint.of("account", "/path", new byte[] {(byte) request});
+    }
+
     private void passDoubt(CrashLedger ledger) {
         mClock.advance(Duration.ofMillis(CrashLedger.DOUBT_MILLISECONDS));
         ledger.tick();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedDemand.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedDemand.java
@@ -2,9 +2,12 @@
 
 import java.time.Clock;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import org.foxtailridge.forwarding.request.RequestTerms;
+import org.foxtailridge.forwarding.request.WantedModel;
+import org.foxtailridge.placement.announced.AnnouncedPlacement;
 
 /** Counts what forwarded requests ask for, by model and by adapter. */
 public final class ForwardedDemand {
@@ -38,40 +41,24 @@
         return taken;
     }
 
-    /** Returns the name of an adapter in the counts. */
-    public static String adapterName(String modelName, String adapter) {
-        return modelName + ":" + adapter;
-    }
-
     void arrived(RequestTerms terms) {
-        terms.facts()
-                .model()
-                .ifPresent(
-                        wanted -> {
-                            String model =
-                                    RequestTargets.modelName(terms.service(), wanted.model());
-                            entry(model).arrived(terms.countedTokens());
-                            wanted.adapter()
-                                    .ifPresent(
-                                            adapter ->
-                                                    entry(adapterName(model, adapter))
-                                                            .arrived(terms.countedTokens()));
-                        });
+        namesOf(terms).forEach(name -> entry(name).arrived(terms.countedTokens()));
     }
 
     void ended(RequestTerms terms) {
-        terms.facts()
-                .model()
-                .ifPresent(
-                        wanted -> {
-                            String model =
-                                    RequestTargets.modelName(terms.service(), wanted.model());
-                            entry(model).mUnderWay--;
-                            wanted.adapter()
-                                    .ifPresent(
-                                            adapter ->
-                                                    entry(adapterName(model, adapter)).mUnderWay--);
-                        });
+        namesOf(terms).forEach(name -> entry(name).mUnderWay--);
+    }
+
+    /** Returns what a request counts for: its model, and its adapter if it names one. */
+    private static List<String> namesOf(RequestTerms terms) {
+        if (terms.facts().model().isEmpty()) {
+            return List.of();
+        }
+        WantedModel wanted = terms.facts().model().get();
+        String model = RequestTargets.modelName(terms.service(), wanted.model());
+        return wanted.adapter()
+                .map(adapter -> List.of(model, AnnouncedPlacement.adapterName(model, adapter)))
+                .orElse(List.of(model));
     }
 
     private Entry entry(String name) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -261,8 +261,8 @@
         switch (meaning) {
             case SUCCESS, REJECTION -> {
                 tellFirstToken();
+                noteHarmless();
                 mRelay.complete();
-                mParts.crashes().answered(mTerms.fingerprint(), mLife.endpoint());
                 mLife.answerComplete();
             }
             case FAILURE -> {
@@ -285,16 +285,23 @@
         mExchange = null;
         mLines.exchangeFailed(mTerms, mLife.endpoint(), reason);
         if (failure == AttemptFailure.BROKEN) {
-            mParts.crashes().broken(mTerms.fingerprint(), mLife.endpoint());
+            mParts.crashes().broken(Forwarder.fingerprint(mTerms, mCaller), mLife.endpoint());
         }
         mLife.attemptFailed(failure, false);
     }
 
     private boolean mayRetry(String service) {
-        return mParts.crashes().heldBackMilliseconds(mTerms.fingerprint()) == 0
+        return mForwarder.heldBackMilliseconds(mTerms, mCaller) == 0
                 && mParts.retries().take(service);
     }
 
+    /** Tells that an endpoint lives; before the end of the answer, which releases the body. */
+    private void noteHarmless() {
+        if (!mParts.crashes().isEmpty()) {
+            mParts.crashes().answered(Forwarder.fingerprint(mTerms, mCaller), mLife.endpoint());
+        }
+    }
+
     private void keepAnswer() {
         if (mKeptAnswer != null) {
             mKeptAnswer.release();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.forwarding.front;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Instant;
@@ -18,6 +19,7 @@
 import org.foxtailridge.core.error.ErrorTable;
 import org.foxtailridge.core.name.ClientAccountName;
 import org.foxtailridge.core.name.EndpointName;
+import org.foxtailridge.execution.quarantine.Fingerprint;
 import org.foxtailridge.forwarding.configuration.CallerLimits;
 import org.foxtailridge.forwarding.configuration.ForwardingConfiguration;
 import org.foxtailridge.forwarding.configuration.ForwardingService;
@@ -49,9 +51,7 @@
 public final class Forwarder implements CallerHandler, SchedulerOutbox {
     private static final Logger LOGGER = LogManager.getLogger(Forwarder.class);
     private static final long MILLISECONDS_PER_SECOND = 1_000;
-    // A place is free again, or tokens are there again, within a fraction of a second mostly.
-    private static final long SHORT_RETRY_MILLISECONDS = 300;
-    private static final long SECONDS_UNKNOWN = 0;
+    private static final long TIME_UNKNOWN = 0;
 
     private final ForwarderParts mParts;
     private final EndpointRoster mRoster;
@@ -135,7 +135,7 @@
             return;
         }
         RequestTerms terms = decision.terms().get();
-        long heldBack = mParts.crashes().heldBackMilliseconds(terms.fingerprint());
+        long heldBack = heldBackMilliseconds(terms, exchange);
         if (heldBack > 0) {
             refuse(exchange, facts, ErrorKind.NO_ENDPOINT, "endpoints were lost with it", heldBack);
             return;
@@ -177,7 +177,7 @@
                         () -> {
                             ForwardedRequest waiting = mRequests.get(request.requestId());
                             if (waiting != null) {
-                                waiting.life().refused(kind, SECONDS_UNKNOWN);
+                                waiting.life().refused(kind, TIME_UNKNOWN);
                             }
                         });
     }
@@ -188,6 +188,18 @@
         LOGGER.warn("the queue asked to cancel attempt {}; it goes on", attempt.attemptId());
     }
 
+    /** Returns for how long a request is not to run, as it crashed endpoints; 0 when it may. */
+    long heldBackMilliseconds(RequestTerms terms, CallerExchange exchange) {
+        return mParts.crashes().isEmpty()
+                ? 0
+                : mParts.crashes().heldBackMilliseconds(fingerprint(terms, exchange));
+    }
+
+    static Fingerprint fingerprint(RequestTerms terms, CallerExchange exchange) {
+        byte[] body = ByteBufUtil.getBytes(exchange.body());
+        return Fingerprint.of(terms.accountName(), terms.facts().target(), body);
+    }
+
     EndpointRoster roster() {
         return mRoster;
     }
@@ -207,7 +219,7 @@
                 mConfiguration.get().flatMap(known -> known.service(terms.service()));
         if (service.isEmpty()) {
             mParts.loop()
-                    .execute(() -> request.life().refused(ErrorKind.NO_ENDPOINT, SECONDS_UNKNOWN));
+                    .execute(() -> request.life().refused(ErrorKind.NO_ENDPOINT, TIME_UNKNOWN));
             return;
         }
         RequestFacts facts = terms.facts();
@@ -256,10 +268,17 @@
                 answer.retryAfterSeconds().isEmpty()
                         ? OptionalLong.empty()
                         : OptionalLong.of(
-                                retryAfterMs > 0 ? retryAfterMs : SHORT_RETRY_MILLISECONDS);
+                                retryAfterMs > 0
+                                        ? retryAfterMs
+                                        : RetryAfterRule.SHORT_MILLISECONDS);
+        answer(exchange, answer.status(), retryAfter, body);
+    }
+
+    private static void answer(
+            CallerExchange exchange, int status, OptionalLong retryAfter, byte[] body) {
         exchange.begin(
-                answer.status(),
-                HttpResponseStatus.valueOf(answer.status()).reasonPhrase(),
+                status,
+                HttpResponseStatus.valueOf(status).reasonPhrase(),
                 ForwardedRequest.failureHeaders(retryAfter),
                 OptionalLong.of(body.length));
         exchange.write(Unpooled.wrappedBuffer(body));
@@ -268,7 +287,7 @@
 
     private void refuse(
             CallerExchange exchange, RequestFacts facts, ErrorKind kind, String reason) {
-        refuse(exchange, facts, kind, reason, SECONDS_UNKNOWN);
+        refuse(exchange, facts, kind, reason, TIME_UNKNOWN);
     }
 
     private void refuse(
@@ -284,13 +303,7 @@
     private void refusedUnread(CallerExchange exchange, MalformedHeadException malformed) {
         mParts.log().refusedUnread(malformed.kind(), malformed.getMessage());
         byte[] body = FailureBody.of(malformed.kind(), malformed.getMessage());
-        exchange.begin(
-                malformed.answer().status(),
-                "Bad Request",
-                ForwardedRequest.failureHeaders(OptionalLong.empty()),
-                OptionalLong.of(body.length));
-        exchange.write(Unpooled.wrappedBuffer(body));
-        exchange.end();
+        answer(exchange, malformed.answer().status(), OptionalLong.empty(), body);
     }
 
     private void admit(ForwardedRequest request, Admission admission) {
@@ -301,9 +314,9 @@
         } else if (admission instanceof Admission.LargerThanBurst) {
             request.tokensRefused(ErrorKind.RATE_EXCEEDED, MILLISECONDS_PER_SECOND);
         } else if (admission instanceof Admission.Overloaded) {
-            request.tokensRefused(ErrorKind.OVERLOADED, SECONDS_UNKNOWN);
+            request.tokensRefused(ErrorKind.OVERLOADED, TIME_UNKNOWN);
         } else {
-            request.tokensRefused(ErrorKind.NOT_READY, SECONDS_UNKNOWN);
+            request.tokensRefused(ErrorKind.NOT_READY, TIME_UNKNOWN);
         }
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/RetryAfterRule.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/RetryAfterRule.java
@@ -11,7 +11,7 @@
  */
 final class RetryAfterRule {
     // A place is free again, or tokens are there again, within a fraction of a second mostly.
-    private static final long SHORT_MILLISECONDS = 300;
+    static final long SHORT_MILLISECONDS = 300;
     // A model that no engine holds is loaded from a disk within a second or two, and from the
     // weight store within a few more.
     private static final long MODEL_MILLISECONDS = 2_500;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/TermsRule.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/TermsRule.java
@@ -1,9 +1,5 @@
 package org.foxtailridge.forwarding.front;
 
-import com.google.common.hash.Hasher;
-import com.google.common.hash.Hashing;
-import io.netty.buffer.ByteBufUtil;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.foxtailridge.core.error.ErrorKind;
@@ -56,8 +52,7 @@
                         account,
                         arrived,
                         arrived + time,
-                        account.map(known -> countedTokens(known, facts)).orElse(0L),
-                        fingerprint(facts, account, exchange)));
+                        account.map(known -> countedTokens(known, facts)).orElse(0L)));
     }
 
     private boolean isUnlistedModel(String service, RequestFacts facts) {
@@ -76,13 +71,4 @@
                 ? Math.max(1, facts.countedTokens().orElse(account.plainTokens()))
                 : 1;
     }
-
-    private static long fingerprint(
-            RequestFacts facts, Optional<ForwardingAccount> account, CallerExchange exchange) {
-        Hasher hasher = Hashing.farmHashFingerprint64().newHasher();
-        hasher.putString(facts.target(), StandardCharsets.UTF_8);
-        hasher.putString(account.map(ForwardingAccount::name).orElse(""), StandardCharsets.UTF_8);
-        hasher.putBytes(ByteBufUtil.getBytes(exchange.body()));
-        return hasher.hash().asLong();
-    }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -84,10 +84,6 @@
         mIdleSince = milliseconds;
     }
 
-    long idleMilliseconds(long now) {
-        return now - mIdleSince;
-    }
-
     /** Returns whether the endpoint surely has not closed it for lying idle. */
     boolean isFresh(long now, long mostMilliseconds) {
         return now - mIdleSince < Math.min(mIdleMilliseconds, mostMilliseconds);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/DatagramNetwork.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/DatagramNetwork.java
@@ -1,7 +1,9 @@
 package org.foxtailridge.forwarding.node;
 
+import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.MessageLite;
+import com.google.protobuf.Parser;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -32,7 +34,7 @@
  *
  * <pre>{@code
  * DatagramNetwork network = new DatagramNetwork(loop, self, incarnation);
- * network.receive(Subject.LIMITS, (sender, payload) -> ...);
+ * network.receive(Subject.LIMITS, LimitsMessage.parser(), (sender, message) -> ...);
  * network.bind(address);
  * network.send(NodeName.of("10.1.0.25:8229"), Subject.LIMITS, message);
  * }</pre>
@@ -43,7 +45,7 @@
     private final EventLoop mLoop;
     private final NodeName mSelf;
     private final long mIncarnation;
-    private final Map<Subject, BiConsumer<NodeName, byte[]>> mReceivers =
+    private final Map<Subject, BiConsumer<NodeName, ByteString>> mReceivers =
             new EnumMap<>(Subject.class);
     private final Map<NodeName, InetSocketAddress> mAddresses = new HashMap<>();
     private Channel mChannel;
@@ -57,8 +59,17 @@
     }
 
     /** Sets what takes the messages of a subject. */
-    public void receive(Subject subject, BiConsumer<NodeName, byte[]> receiver) {
-        mReceivers.put(subject, receiver);
+    public <T extends MessageLite> void receive(
+            Subject subject, Parser<T> parser, BiConsumer<NodeName, T> receiver) {
+        mReceivers.put(
+                subject,
+                (sender, payload) -> {
+                    try {
+                        receiver.accept(sender, parser.parseFrom(payload));
+                    } catch (InvalidProtocolBufferException unreadable) {
+                        LOGGER.warn("message of {} about {} can't be read", sender, subject);
+                    }
+                });
     }
 
     /** Starts to receive. */
@@ -97,9 +108,9 @@
 
     private void receive(byte[] bytes) throws InvalidProtocolBufferException {
         Datagram datagram = Datagram.parseFrom(bytes);
-        BiConsumer<NodeName, byte[]> receiver = mReceivers.get(datagram.getSubject());
+        BiConsumer<NodeName, ByteString> receiver = mReceivers.get(datagram.getSubject());
         if (receiver != null && Names.isName(datagram.getSender())) {
-            receiver.accept(NodeName.of(datagram.getSender()), datagram.getPayload().toByteArray());
+            receiver.accept(NodeName.of(datagram.getSender()), datagram.getPayload());
         }
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
@@ -1,6 +1,5 @@
 package org.foxtailridge.forwarding.node;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -45,7 +44,6 @@
     private final Clock mClock;
     private final DutyGroup mGroup;
     private final NodeMembership mMembers;
-    private final DatagramNetwork mNetwork;
     private final GroupDuties mDuties;
     private final List<DutyListener> mListeners = new ArrayList<>();
     private final Map<Integer, Holder> mHolders = new HashMap<>();
@@ -63,10 +61,9 @@
         mClock = clock;
         mGroup = group;
         mMembers = members;
-        mNetwork = network;
         mStartedMilliseconds = clock.millis();
         mDuties = new GroupDuties(SETTINGS, clock, this);
-        network.receive(Subject.DUTIES, this::receive);
+        network.receive(Subject.DUTIES, DutiesMessage.parser(), this::receive);
     }
 
     void listen(DutyListener listener) {
@@ -86,10 +83,6 @@
         mDuties.leave();
     }
 
-    Optional<HeldDuty> held(int partition) {
-        return mDuties.held(partition);
-    }
-
     /** Returns the node that holds a duty, as far as is known. */
     Optional<NodeName> holder(int partition) {
         if (mDuties.held(partition).isPresent()) {
@@ -179,19 +172,12 @@
                             .setFencing(duty.fencing()));
         }
         if (message.getHeldCount() > 0) {
-            DutiesMessage built = message.build();
-            mMembers.peers().forEach(peer -> mNetwork.send(peer, Subject.DUTIES, built));
+            mMembers.sendToPeers(Subject.DUTIES, message.build());
         }
     }
 
-    private void receive(NodeName sender, byte[] payload) {
-        try {
-            for (HeldDutyStatement held : DutiesMessage.parseFrom(payload).getHeldList()) {
-                onStatement(sender, held);
-            }
-        } catch (InvalidProtocolBufferException unreadable) {
-            LOGGER.warn("message of {} about duties can't be read", sender);
-        }
+    private void receive(NodeName sender, DutiesMessage message) {
+        message.getHeldList().forEach(held -> onStatement(sender, held));
     }
 
     private void onStatement(NodeName sender, HeldDutyStatement held) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
@@ -1,6 +1,5 @@
 package org.foxtailridge.forwarding.node;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Clock;
 import java.util.HashMap;
 import java.util.List;
@@ -66,7 +65,7 @@
                         limits,
                         clock,
                         (node, message) -> network.send(node, Subject.LIMITS, message));
-        network.receive(Subject.LIMITS, this::receive);
+        network.receive(Subject.LIMITS, LimitsMessage.parser(), mLimiter::receive);
     }
 
     TokenLimiter limiter() {
@@ -157,14 +156,6 @@
                 .writeTo(LOGGER);
     }
 
-    private void receive(NodeName sender, byte[] payload) {
-        try {
-            mLimiter.receive(sender, LimitsMessage.parseFrom(payload));
-        } catch (InvalidProtocolBufferException unreadable) {
-            LOGGER.warn("message of {} about limits can't be read", sender);
-        }
-    }
-
     private record Held(HeldDuty duty, OptionalLong former) {}
 
     private record Elsewhere(NodeName node, long fencing) {}
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
@@ -1,6 +1,6 @@
 package org.foxtailridge.forwarding.node;
 
-import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageLite;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Duration;
@@ -55,7 +55,7 @@
                         .random(RandomSource.XO_RO_SHI_RO_128_PP.create(incarnation))
                         .outbox(this)
                         .build();
-        network.receive(Subject.MEMBERSHIP, this::receive);
+        network.receive(Subject.MEMBERSHIP, MembershipMessage.parser(), mMembership::onMessage);
         // Where the seeds are is not known; a probe of them brings their own statements.
         settings.seeds().stream()
                 .filter(seed -> !seed.equals(settings.name()))
@@ -115,6 +115,11 @@
         return mPeers;
     }
 
+    /** Sends a message to each peer. */
+    void sendToPeers(Subject subject, MessageLite message) {
+        mPeers.forEach(peer -> mNetwork.send(peer, subject, message));
+    }
+
     /** Returns the nodes that may be running, this one included. */
     int fleetSize() {
         return 1 + mPeers.size();
@@ -139,14 +144,6 @@
                 .writeTo(LOGGER);
     }
 
-    private void receive(NodeName sender, byte[] payload) {
-        try {
-            mMembership.onMessage(sender, MembershipMessage.parseFrom(payload));
-        } catch (InvalidProtocolBufferException unreadable) {
-            LOGGER.warn("message of {} about members can't be read", sender);
-        }
-    }
-
     private void tellListed() {
         List<ListedVm> listed = new ArrayList<>();
         mListed.forEach((node, centre) -> listed.add(new ListedVm(node, centre, false)));
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
@@ -1,6 +1,5 @@
 package org.foxtailridge.forwarding.node;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import java.time.Clock;
 import java.time.Duration;
@@ -87,7 +86,7 @@
         mNetwork = network;
         mWaits = new AdapterWaits(loop);
         mPlacement = new AnnouncedPlacement(AnnouncedPlacementSettings.defaults(), clock, this);
-        network.receive(Subject.PLACEMENT, this::receive);
+        network.receive(Subject.PLACEMENT, PlacementMessage.parser(), this::receive);
     }
 
     void use(NodeEndpoints endpoints, ForwardedDemand demand) {
@@ -151,7 +150,7 @@
                         .setResident(resident)
                         .build();
         PlacementMessage message = PlacementMessage.newBuilder().setResidence(residence).build();
-        mMembers.peers().forEach(peer -> mNetwork.send(peer, Subject.PLACEMENT, message));
+        mMembers.sendToPeers(Subject.PLACEMENT, message);
         onResidence(residence);
     }
 
@@ -243,21 +242,16 @@
         mWaits.end(key, residence.getResident());
     }
 
-    private void receive(NodeName sender, byte[] payload) {
-        try {
-            PlacementMessage message = PlacementMessage.parseFrom(payload);
-            switch (message.getKindCase()) {
-                case DEMAND -> onDemand(sender, message.getDemand());
-                case WANTED ->
-                        mPlacement.adapterWanted(
-                                message.getWanted().getEndpoint(),
-                                message.getWanted().getModel(),
-                                message.getWanted().getAdapter());
-                case RESIDENCE -> onResidence(message.getResidence());
-                default -> LOGGER.debug("message of {} has an unknown kind", sender);
-            }
-        } catch (InvalidProtocolBufferException unreadable) {
-            LOGGER.warn("message of {} about placement can't be read", sender);
+    private void receive(NodeName sender, PlacementMessage message) {
+        switch (message.getKindCase()) {
+            case DEMAND -> onDemand(sender, message.getDemand());
+            case WANTED ->
+                    mPlacement.adapterWanted(
+                            message.getWanted().getEndpoint(),
+                            message.getWanted().getModel(),
+                            message.getWanted().getAdapter());
+            case RESIDENCE -> onResidence(message.getResidence());
+            default -> LOGGER.debug("message of {} has an unknown kind", sender);
         }
     }
 
@@ -303,7 +297,7 @@
         }
         mPlacement.demand(mSettings.name().value(), underWay);
         PlacementMessage message = PlacementMessage.newBuilder().setDemand(report).build();
-        mMembers.peers().forEach(peer -> mNetwork.send(peer, Subject.PLACEMENT, message));
+        mMembers.sendToPeers(Subject.PLACEMENT, message);
         mEndpoints.reportLoads();
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
@@ -1,6 +1,5 @@
 package org.foxtailridge.forwarding.node;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
@@ -87,7 +86,7 @@
                         random,
                         this,
                         List.of(mConfigurations, mEndpoints));
-        network.receive(Subject.RELAY, this::receive);
+        network.receive(Subject.RELAY, RelayMessage.parser(), mRelay::receive);
     }
 
     void tick() {
@@ -101,11 +100,6 @@
         return mInForce;
     }
 
-    /** Returns whether endpoints were read at all. */
-    boolean knowsEndpoints() {
-        return mEndpoints.nextOffset() >= 0;
-    }
-
     /** Returns the age of what is known of the configuration, in milliseconds; -1 for never. */
     long configurationAge() {
         return mConfigurations.confirmedAgeMilliseconds();
@@ -158,14 +152,6 @@
         mListener.configurationChanged(former, read);
     }
 
-    private void receive(NodeName sender, byte[] payload) {
-        try {
-            mRelay.receive(sender, RelayMessage.parseFrom(payload));
-        } catch (InvalidProtocolBufferException unreadable) {
-            LOGGER.warn("message of {} to the relay can't be read", sender);
-        }
-    }
-
     private void logAnswered(boolean answered, String reason) {
         if (answered != mLogAnswers) {
             mLogAnswers = answered;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestTerms.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestTerms.java
@@ -16,7 +16,6 @@
  * @param arrivedMilliseconds when its head came, in milliseconds since the epoch
  * @param endsMilliseconds when it is given up, in milliseconds since the epoch
  * @param countedTokens what it takes of its client account's limit; 0 for nothing
- * @param fingerprint digest of what is the same when it comes again
  */
 public record RequestTerms(
         String runId,
@@ -26,8 +25,7 @@
         Optional<ForwardingAccount> account,
         long arrivedMilliseconds,
         long endsMilliseconds,
-        long countedTokens,
-        long fingerprint) {
+        long countedTokens) {
     /** Checks that no part is missing. */
     public RequestTerms {
         Objects.requireNonNull(runId, "runId");
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
@@ -83,6 +83,6 @@
                         List.of(),
                         Optional.empty());
         return new RequestTerms(
-                "run", facts, route, "service", Optional.empty(), 0, endsMilliseconds, 0, 0);
+                "run", facts, route, "service", Optional.empty(), 0, endsMilliseconds, 0);
     }
 }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestLifeTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestLifeTest.java
@@ -378,7 +378,7 @@
                                         "account", OptionalInt.empty(), true, 100, 100, 1))
                         : Optional.empty();
         return new RequestTerms(
-                "run", facts, route, "service", account, 0, TIME_MILLISECONDS, limited ? 5 : 0, 0);
+                "run", facts, route, "service", account, 0, TIME_MILLISECONDS, limited ? 5 : 0);
     }
 
     private static final class Recorder implements LifeOutbox, LifeLog {
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestTermsTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestTermsTest.java
@@ -42,7 +42,7 @@
         // WHEN
         RequestTerms terms =
                 new RequestTerms(
-                        "run", sample.facts(), route, "service", Optional.empty(), 0, time, 0, 0);
+                        "run", sample.facts(), route, "service", Optional.empty(), 0, time, 0);
 
         // THEN
         assertThat(terms.startByMilliseconds()).isEqualTo(expected);
--- a/membership/src/main/java/org/foxtailridge/membership/probe/MembershipSettings.java
+++ b/membership/src/main/java/org/foxtailridge/membership/probe/MembershipSettings.java
@@ -1,7 +1,7 @@
 package org.foxtailridge.membership.probe;
 
 import java.time.Duration;
-import java.util.Objects;
+import org.foxtailridge.core.check.Arguments;
 
 /**
  * Settings of membership. Immutable.
@@ -102,61 +102,62 @@
 
         /** Sets the time between two probes. */
         public Builder probePeriod(Duration probePeriod) {
-            mProbePeriod = requireTime(probePeriod, "probePeriod");
+            mProbePeriod = Arguments.requireTime(probePeriod, "probePeriod");
             return this;
         }
 
         /** Sets the time after which other nodes are asked to probe the target. */
         public Builder acknowledgementTimeout(Duration acknowledgementTimeout) {
-            mAcknowledgementTimeout = requireTime(acknowledgementTimeout, "acknowledgementTimeout");
+            mAcknowledgementTimeout =
+                    Arguments.requireTime(acknowledgementTimeout, "acknowledgementTimeout");
             return this;
         }
 
         /** Sets the time that a suspect has to refute, for each power of ten of nodes. */
         public Builder suspicionUnit(Duration suspicionUnit) {
-            mSuspicionUnit = requireTime(suspicionUnit, "suspicionUnit");
+            mSuspicionUnit = Arguments.requireTime(suspicionUnit, "suspicionUnit");
             return this;
         }
 
         /** Sets the time for which a dead node that is not listed is remembered. */
         public Builder forgetAfter(Duration forgetAfter) {
-            mForgetAfter = requireTime(forgetAfter, "forgetAfter");
+            mForgetAfter = Arguments.requireTime(forgetAfter, "forgetAfter");
             return this;
         }
 
         /** Sets the nodes that are asked to probe a target that did not answer. */
         public Builder indirectProbes(int indirectProbes) {
-            mIndirectProbes = requirePositive(indirectProbes, "indirectProbes");
+            mIndirectProbes = Arguments.requirePositive(indirectProbes, "indirectProbes");
             return this;
         }
 
         /** Sets the largest number of statements in a message. */
         public Builder updatesPerMessage(int updatesPerMessage) {
-            mUpdatesPerMessage = requirePositive(updatesPerMessage, "updatesPerMessage");
+            mUpdatesPerMessage = Arguments.requirePositive(updatesPerMessage, "updatesPerMessage");
             return this;
         }
 
         /** Sets the times that a new statement is sent, for each power of two of nodes. */
         public Builder spreadFactor(int spreadFactor) {
-            mSpreadFactor = requirePositive(spreadFactor, "spreadFactor");
+            mSpreadFactor = Arguments.requirePositive(spreadFactor, "spreadFactor");
             return this;
         }
 
         /** Sets the probes after which one goes to another data centre. */
         public Builder farProbeEvery(int farProbeEvery) {
-            mFarProbeEvery = requirePositive(farProbeEvery, "farProbeEvery");
+            mFarProbeEvery = Arguments.requirePositive(farProbeEvery, "farProbeEvery");
             return this;
         }
 
         /** Sets the probes after which one goes to a listed node that seems dead. */
         public Builder deadProbeEvery(int deadProbeEvery) {
-            mDeadProbeEvery = requirePositive(deadProbeEvery, "deadProbeEvery");
+            mDeadProbeEvery = Arguments.requirePositive(deadProbeEvery, "deadProbeEvery");
             return this;
         }
 
         /** Sets the largest number of nodes that are remembered. */
         public Builder maximumMembers(int maximumMembers) {
-            mMaximumMembers = requirePositive(maximumMembers, "maximumMembers");
+            mMaximumMembers = Arguments.requirePositive(maximumMembers, "maximumMembers");
             return this;
         }
 
@@ -164,21 +165,5 @@
         public MembershipSettings build() {
             return new MembershipSettings(this);
         }
-
-        private static int requirePositive(int value, String name) {
-            if (value < 1) {
-                throw new IllegalArgumentException(name + " must be at least 1 but was " + value);
-            }
-            return value;
-        }
-
-        private static Duration requireTime(Duration value, String name) {
-            Objects.requireNonNull(value, name);
-            if (value.isNegative() || value.isZero()) {
-                throw new IllegalArgumentException(
-                        name + " must be longer than 0 but was " + value);
-            }
-            return value;
-        }
     }
 }
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AdapterDesk.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AdapterDesk.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** Adapters that requests wait for, and what makes place for them. */
 final class AdapterDesk {
@@ -62,27 +63,23 @@
                 Comparator.comparingDouble(Candidate::demand)
                         .thenComparingLong(Candidate::usedMilliseconds);
         return engine.models().stream()
-                .flatMap(
-                        model ->
-                                engine.adapters(model).entrySet().stream()
-                                        .filter(
-                                                entry ->
-                                                        !engine.isAdapterInUse(
-                                                                model, entry.getKey(), now))
-                                        .map(
-                                                entry ->
-                                                        new Candidate(
-                                                                model,
-                                                                entry.getKey(),
-                                                                demands.of(
-                                                                        model
-                                                                                + ":"
-                                                                                + entry.getKey()),
-                                                                entry.getValue())))
+                .flatMap(model -> candidates(engine, model, demands, now))
                 .min(leastMissed)
                 .map(candidate -> new Step(false, candidate.model(), candidate.adapter()));
     }
 
+    private static Stream<Candidate> candidates(
+            EngineState engine, String model, ModelDemands demands, long now) {
+        return engine.adapters(model).entrySet().stream()
+                .filter(held -> !engine.isAdapterInUse(model, held.getKey(), now))
+                .map(
+                        held -> {
+                            String name = AnnouncedPlacement.adapterName(model, held.getKey());
+                            double demand = demands.of(name);
+                            return new Candidate(model, held.getKey(), demand, held.getValue());
+                        });
+    }
+
     /**
      * An order of an adapter.
      *
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
@@ -59,6 +59,11 @@
                         settings.demandMemory().toMillis(), settings.reportLife().toMillis());
     }
 
+    /** Returns the name under which the demand for an adapter is told. */
+    public static String adapterName(String model, String adapter) {
+        return model + ':' + adapter;
+    }
+
     /** Sets the pools of engines and their models. */
     public void pools(List<PoolSize> pools) {
         mPools.clear();
--- a/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
@@ -176,7 +176,7 @@
 
     /** Returns whether requests were using an adapter a moment ago, so that it can't be dropped. */
     boolean isAdapterInUse(String model, String adapter, long now) {
-        Long refused = mAdaptersInUse.get(model + ':' + adapter);
+        Long refused = mAdaptersInUse.get(AnnouncedPlacement.adapterName(model, adapter));
         return refused != null && now - refused < ADAPTER_IN_USE_MILLISECONDS;
     }
 
@@ -300,7 +300,8 @@
     private void refused(ModelOrder order, long now) {
         mOrders = OptionalLong.empty();
         if (order.adapter().isPresent() && !order.load()) {
-            mAdaptersInUse.put(order.model() + ':' + order.adapter().get(), now);
+            mAdaptersInUse.put(
+                    AnnouncedPlacement.adapterName(order.model(), order.adapter().get()), now);
         }
     }
 
--- a/placement/src/main/java/org/foxtailridge/placement/order/OrderHistory.java
+++ b/placement/src/main/java/org/foxtailridge/placement/order/OrderHistory.java
@@ -71,11 +71,6 @@
         endpointOf(report.endpoint()).report(report);
     }
 
-    /** Returns whether a load recorded now would find the weight store busy. */
-    public boolean isStoreBusy(OrderAction action, WeightStoreLimits limits, Duration sinceRecord) {
-        return mBudget.isBusy(action, limits, mLogMilliseconds + sinceRecord.toMillis());
-    }
-
     /**
      * Stops to charge late orders that can't arrive any more.
      *
--- a/placement/src/main/java/org/foxtailridge/placement/order/WeightStoreBudget.java
+++ b/placement/src/main/java/org/foxtailridge/placement/order/WeightStoreBudget.java
@@ -45,16 +45,6 @@
         mAdapters.remove(orderId);
     }
 
-    /** Returns whether a load recorded now would be refused. */
-    boolean isBusy(OrderAction action, WeightStoreLimits limits, long logMilliseconds) {
-        advance(logMilliseconds);
-        if (action == OrderAction.LOAD_ADAPTER) {
-            return mAdapters.size() >= limits.adaptersAtOnce();
-        }
-        return mModels.size() >= limits.loadsAtOnce()
-                || mNextStart - mNow > mLongestDelayMilliseconds;
-    }
-
     private Admission admitAdapter(Order order, WeightStoreLimits limits) {
         mAdapters.remove(order.orderId());
         if (mAdapters.size() >= limits.adaptersAtOnce()) {
--- a/placement/src/main/java/org/foxtailridge/placement/plan/ModelState.java
+++ b/placement/src/main/java/org/foxtailridge/placement/plan/ModelState.java
@@ -34,10 +34,6 @@
         return copies;
     }
 
-    boolean isComing() {
-        return mHolders.stream().anyMatch(holder -> holder.mState == CopyState.COMING);
-    }
-
     /** Returns whether a data centre has a copy that is counted on, answering or not. */
     boolean covers(String dataCentre) {
         for (Holder holder : mHolders) {
