Keep the knowledge of healthy nodes younger than the plans' staleness

With the only other reader cut off, as in the test, nobody else's answers hide it; - a node that does not read for its data centre asked the log itself at 10 s, and then again after 10 s although the log had answered; - the test with the replaced node ran on a plan with a staleness of 8 s: once the start of a process took longer than that after the log's outage, the plan itself demanded 503 for good. Ruled out: membership, limits and quarantine (the bodies name configuration_stale), time alone (30 s more change nothing while the log is down). Change: reads wait 2 s, fallback reads from 6 s, and again after 1 s while the log answers; 10 s stays for a log that does not.

--- a/configuration/src/main/java/org/foxtailridge/configuration/follow/FollowerSettings.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/follow/FollowerSettings.java
@@ -125,10 +125,13 @@
     public static final class Builder {
         private Duration mPollPeriod = Duration.ofSeconds(1);
         private Duration mRequestTimeout = Duration.ofSeconds(1);
-        private Duration mReadWait = Duration.ofSeconds(5);
-        private Duration mReadTimeout = Duration.ofSeconds(8);
+        // An answer tells of the instant at which its read was sent, so that a reader's knowledge
+        // is
+        // up to two waits old. Plans may set a staleness from 8 s upwards.
+        private Duration mReadWait = Duration.ofSeconds(2);
+        private Duration mReadTimeout = Duration.ofSeconds(5);
         private Duration mReadRetry = Duration.ofSeconds(1);
-        private Duration mFallbackAfter = Duration.ofSeconds(10);
+        private Duration mFallbackAfter = Duration.ofSeconds(6);
         private Duration mFallbackPeriod = Duration.ofSeconds(10);
         private Duration mFarAfter = Duration.ofSeconds(4);
         private int mReadLimit = 256;
@@ -181,7 +184,7 @@
             return this;
         }
 
-        /** Sets the time between two such reads. */
+        /** Sets the time before the next such read when the log does not answer. */
         public Builder fallbackPeriod(Duration fallbackPeriod) {
             mFallbackPeriod = Arguments.requireTime(fallbackPeriod, "fallbackPeriod");
             return this;
--- a/configuration/src/main/java/org/foxtailridge/configuration/follow/LogReader.java
+++ b/configuration/src/main/java/org/foxtailridge/configuration/follow/LogReader.java
@@ -64,8 +64,9 @@
         readIfDue(now);
     }
 
+    /** Returns the pause after an answer; a log that answers may be asked again soon. */
     private Duration periodAfterAnswer() {
-        return mReadsForDataCentre ? Duration.ZERO : mSettings.fallbackPeriod();
+        return mReadsForDataCentre ? Duration.ZERO : mSettings.readRetry();
     }
 
     private void fail(Instant now) {
