Let copies follow the demand that is refused; place them although orders stay unanswered

Ruled out: the limit of the weight store (burst never used up), full batches (97 of 384 places taken while requests were refused), the limits of accounts (what was refused there lies beyond the limits). Change: refused requests count on for 2 s; a rise is taken to go on while a load lasts; an order without an answer is sent once more under the same number, and a later accepted order ends the doubt; orders for adapters block nothing; engines that answer no question count as lost; one copy in each data centre for crowded models; urgency by what requests gain; arrival of models told at once; callers of crowded models come back after half to all of their patience. While a node stops it goes on accepting connections and serves what surely ends before the process (StopRule), as the platform sends callers to stopping nodes while too few others of the data centre are ready; before it refused connections after 2.3 s. The model check of orders found two more faults: a late order to an engine's life before could meet a new holder that had not seen the restart; now an engine that may have had a life before keeps room for the largest model. And the simulated engine loaded a model twice where real ones answer that they hold it (PROTOCOL: "200: the order already holds"); it answers so now, every other check stays.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedDemand.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedDemand.java
@@ -9,9 +9,17 @@
 import org.foxtailridge.forwarding.request.WantedModel;
 import org.foxtailridge.placement.announced.AnnouncedPlacement;
 
-/** Counts what forwarded requests ask for, by model and by adapter. */
+/**
+ * Counts what forwarded requests ask for, by model and by adapter.
+ *
+ * <p>A request that was refused for want of room counts on for about as long as it would have run:
+ * if only admitted requests counted, a model would look less wanted the more of them are refused.
+ */
 public final class ForwardedDemand {
     private static final double MILLISECONDS_PER_SECOND = 1_000;
+    // A stream of 300 tokens takes some two seconds at an engine with a full batch.
+    private static final double UNSERVED_MILLISECONDS = 2_000;
+    private static final double FORGOTTEN = 0.05;
 
     private final Clock mClock;
     private final Map<String, Entry> mEntries = new HashMap<>();
@@ -27,6 +35,7 @@
         long now = mClock.millis();
         double seconds = Math.max(1, now - mSinceMilliseconds) / MILLISECONDS_PER_SECOND;
         mSinceMilliseconds = now;
+        double kept = Math.exp(-seconds * MILLISECONDS_PER_SECOND / UNSERVED_MILLISECONDS);
         Map<String, Demand> taken = new HashMap<>();
         mEntries.forEach(
                 (name, entry) ->
@@ -35,9 +44,9 @@
                                 new Demand(
                                         entry.mArrived / seconds,
                                         entry.mTokens / seconds,
-                                        entry.mUnderWay)));
-        mEntries.values().removeIf(entry -> entry.mUnderWay == 0);
-        mEntries.values().forEach(Entry::restart);
+                                        entry.mUnderWay + entry.mUnserved)));
+        mEntries.values().forEach(entry -> entry.restart(kept));
+        mEntries.values().removeIf(entry -> entry.mUnderWay == 0 && entry.mUnserved < FORGOTTEN);
         return taken;
     }
 
@@ -45,6 +54,11 @@
         namesOf(terms).forEach(name -> entry(name).arrived(terms.countedTokens()));
     }
 
+    /** Notes that a request was refused as no endpoint had room for it, or none its model. */
+    void unserved(RequestTerms terms) {
+        namesOf(terms).forEach(name -> entry(name).mUnserved++);
+    }
+
     void ended(RequestTerms terms) {
         namesOf(terms).forEach(name -> entry(name).mUnderWay--);
     }
@@ -70,14 +84,15 @@
      *
      * @param requestsPerSecond requests that came, a second
      * @param tokensPerSecond tokens that they count, a second
-     * @param underWay requests that wait or run now
+     * @param underWay requests that wait or run now, or would run if there had been room
      */
-    public record Demand(double requestsPerSecond, double tokensPerSecond, int underWay) {}
+    public record Demand(double requestsPerSecond, double tokensPerSecond, double underWay) {}
 
     private static final class Entry {
         private int mArrived;
         private long mTokens;
         private int mUnderWay;
+        private double mUnserved;
 
         private void arrived(long tokens) {
             mArrived++;
@@ -85,9 +100,10 @@
             mUnderWay++;
         }
 
-        private void restart() {
+        private void restart(double keptUnserved) {
             mArrived = 0;
             mTokens = 0;
+            mUnserved *= keptUnserved;
         }
     }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Instant;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,8 @@
     private static final Logger LOGGER = LogManager.getLogger(Forwarder.class);
     private static final long MILLISECONDS_PER_SECOND = 1_000;
     private static final long TIME_UNKNOWN = 0;
+    private static final Set<ErrorKind> WANT_OF_ROOM =
+            EnumSet.of(ErrorKind.NO_ENDPOINT, ErrorKind.DEADLINE_UNREACHABLE, ErrorKind.OVERLOADED);
 
     private final ForwarderParts mParts;
     private final EndpointRoster mRoster;
@@ -61,7 +64,7 @@
     private final RetryAfterRule mRetryAfter;
     private RequestScheduler mScheduler;
     private long mNextRun;
-    private boolean mStopping;
+    private Optional<StopRule> mStop = Optional.empty();
 
     /**
      * Creates a forwarder without a queue.
@@ -91,9 +94,14 @@
         return mDemand;
     }
 
-    /** Begins a planned stop: answers close their connections. */
-    public void stop() {
-        mStopping = true;
+    /**
+     * Begins a planned stop: answers close their connections.
+     *
+     * @param allUntil until when every request is begun
+     * @param end when the process ends at the latest; requests that last longer are refused
+     */
+    public void stop(Instant allUntil, Instant end) {
+        mStop = Optional.of(new StopRule(allUntil.toEpochMilli(), end.toEpochMilli()));
     }
 
     /** Returns the number of requests under way. */
@@ -135,6 +143,11 @@
             return;
         }
         RequestTerms terms = decision.terms().get();
+        long now = mParts.clock().millis();
+        if (mStop.isPresent() && !mStop.get().mayBegin(terms, now)) {
+            refuse(exchange, facts, ErrorKind.STOPPING, "the node stops before it could end");
+            return;
+        }
         long heldBack = heldBackMilliseconds(terms, exchange);
         if (heldBack > 0) {
             refuse(exchange, facts, ErrorKind.NO_ENDPOINT, "endpoints were lost with it", heldBack);
@@ -157,7 +170,7 @@
 
     @Override
     public boolean isStopping() {
-        return mStopping;
+        return mStop.isPresent();
     }
 
     @Override
@@ -256,6 +269,9 @@
 
     /** Answers a request that was taken on with a failure of this node. */
     void fail(CallerExchange exchange, RequestTerms terms, ErrorKind kind, long retryAfterMs) {
+        if (WANT_OF_ROOM.contains(kind)) {
+            mDemand.unserved(terms);
+        }
         long hint = mRetryAfter.milliseconds(terms, kind, retryAfterMs, mParts.clock().millis());
         answer(exchange, terms.facts(), kind, hint);
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/RetryAfterRule.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/RetryAfterRule.java
@@ -16,6 +16,8 @@
     // weight store within a few more.
     private static final long MODEL_MILLISECONDS = 2_500;
     private static final double SPREAD = 0.5;
+    // Part of its patience that a caller is asked for at least once its answer is late anyway.
+    private static final double LATE_SHARE = 0.5;
     // Callers wait for a third of the time that they have left at most.
     private static final int PATIENCE_DIVISOR = 3;
 
@@ -34,11 +36,28 @@
      * @param now instant, in milliseconds since the epoch
      */
     long milliseconds(RequestTerms terms, ErrorKind kind, long hint, long now) {
-        boolean modelMissing = kind == ErrorKind.NO_ENDPOINT && terms.facts().model().isPresent();
+        long patience = (terms.endsMilliseconds() - now) / PATIENCE_DIVISOR;
+        boolean forModel = terms.facts().model().isPresent();
+        if (forModel && kind == ErrorKind.DEADLINE_UNREACHABLE) {
+            return Math.max(1, afterCrowd(patience));
+        }
+        boolean modelMissing = kind == ErrorKind.NO_ENDPOINT && forModel;
         long known = hint > 0 ? hint : SHORT_MILLISECONDS;
         long base = modelMissing ? MODEL_MILLISECONDS : known;
-        long spread = Math.round(base * (1 + SPREAD * mRandom.nextDouble()));
-        long patience = (terms.endsMilliseconds() - now) / PATIENCE_DIVISOR;
-        return Math.max(1, Math.min(spread, patience));
+        return Math.max(1, Math.min(spread(base), patience));
+    }
+
+    /**
+     * Returns when to come back to engines that are crowded for longer than a first event may take:
+     * the answer is late anyway, so that the caller gains by coming when others have left and
+     * further copies of its model are loaded.
+     */
+    private long afterCrowd(long patience) {
+        double share = LATE_SHARE + (1 - LATE_SHARE) * mRandom.nextDouble();
+        return Math.round(patience * share);
+    }
+
+    private long spread(long base) {
+        return Math.round(base * (1 + SPREAD * mRandom.nextDouble()));
     }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
@@ -67,8 +67,9 @@
         return mExchange != null || mIncoming != null || !mKept.isEmpty();
     }
 
-    void closeIfIdle() {
-        if (!isBusy() && mHeadSinceMilliseconds == 0) {
+    void closeIfIdleSince(long milliseconds) {
+        boolean idle = mLastByteMilliseconds <= milliseconds;
+        if (idle && !isBusy() && mHeadSinceMilliseconds == 0) {
             mChannel.close();
         }
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
@@ -24,7 +25,7 @@
  * CallerServer server = new CallerServer(loop, handler, clock);
  * server.listen(address);
  * server.stopListening();    // a planned stop: no new connections
- * server.closeIdle();        // connections without a request under way
+ * server.closeIdle(Duration.ofMillis(400));   // connections without a request under way
  * }</pre>
  */
 public final class CallerServer {
@@ -81,9 +82,10 @@
         }
     }
 
-    /** Closes the connections on which no request is under way. */
-    public void closeIdle() {
-        List.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
+    /** Closes the connections on which nothing has come or gone for a time. */
+    public void closeIdle(Duration idle) {
+        long before = mClock.millis() - idle.toMillis();
+        List.copyOf(mConnections).forEach(connection -> connection.closeIfIdleSince(before));
     }
 
     /** Closes connections whose callers take too long; called several times a second. */
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/AdapterBeliefs.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/AdapterBeliefs.java
@@ -35,6 +35,16 @@
         return of(engine, start, model, List.of(MODEL_ITSELF), now).isEmpty();
     }
 
+    /** Returns the models that the giver of orders has said to be loaded. */
+    List<String> arrived(String engine, long start, long now) {
+        return mCorrections.getOrDefault(engine, Map.of()).entrySet().stream()
+                .filter(entry -> entry.getKey().name().equals(MODEL_ITSELF))
+                .filter(entry -> entry.getValue().resident())
+                .filter(entry -> entry.getValue().counts(start, now, mCorrectionMilliseconds))
+                .map(entry -> entry.getKey().model())
+                .toList();
+    }
+
     void forget(String engine) {
         mCorrections.remove(engine);
     }
@@ -45,11 +55,7 @@
         Set<String> believed = new LinkedHashSet<>(announced);
         corrections
                 .values()
-                .removeIf(
-                        correction ->
-                                correction.start() != start
-                                        || now - correction.atMilliseconds()
-                                                > mCorrectionMilliseconds);
+                .removeIf(correction -> !correction.counts(start, now, mCorrectionMilliseconds));
         corrections.forEach(
                 (adapter, correction) -> {
                     if (!adapter.model().equals(model)) {
@@ -66,5 +72,9 @@
 
     private record Adapter(String model, String name) {}
 
-    private record Correction(long start, boolean resident, long atMilliseconds) {}
+    private record Correction(long start, boolean resident, long atMilliseconds) {
+        private boolean counts(long engineStart, long now, long life) {
+            return start == engineStart && now - atMilliseconds <= life;
+        }
+    }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/EngineViews.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/EngineViews.java
@@ -38,6 +38,7 @@
         return new EngineView(
                 engine.id(),
                 engine.service(),
+                engine.dataCentre(),
                 engine.startMilliseconds(),
                 !engine.draining(),
                 orders,
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -49,6 +50,8 @@
     // The platform takes a node out of rotation after two questions, one second apart.
     private static final long OUT_OF_ROTATION_MILLISECONDS = 2_300;
     private static final long STOP_CHECK_MILLISECONDS = 50;
+    // A new connection brings its first request within a moment.
+    private static final Duration IDLE_AT_STOP = Duration.ofMillis(400);
     private static final Duration KILL_MARGIN = Duration.ofMillis(400);
     private static final double MILLISECONDS_PER_PROMPT_TOKEN = 0.026;
     private static final double MILLISECONDS_PER_RUNNING_REQUEST = 0.3;
@@ -158,7 +161,10 @@
         LogEvent.named("node_stopping")
                 .number("requests_under_way", mForwarder.underWay())
                 .writeTo(LOGGER);
-        mForwarder.stop();
+        Instant began = mClock.instant();
+        mForwarder.stop(
+                began.plusMillis(OUT_OF_ROTATION_MILLISECONDS),
+                began.plus(mSettings.stopTime()).minus(KILL_MARGIN));
         mDuties.giveUpAll();
         mMembers.leave();
         if (mEntered) {
@@ -170,9 +176,10 @@
                                 return null;
                             });
         }
-        long began = mClock.millis();
         mLoop.schedule(
-                () -> drain(began, stopped), OUT_OF_ROTATION_MILLISECONDS, TimeUnit.MILLISECONDS);
+                () -> drain(began.toEpochMilli(), stopped),
+                OUT_OF_ROTATION_MILLISECONDS,
+                TimeUnit.MILLISECONDS);
         return stopped;
     }
 
@@ -202,13 +209,16 @@
         mEndpoints.logDisturbed();
     }
 
-    /** Finishes what is under way; the connections that wait for requests are closed first. */
+    /**
+     * Finishes what is under way. Connections are still accepted, as the platform sends callers
+     * here while too few nodes of the data centre are in rotation.
+     */
     private void drain(long began, CompletableFuture<Void> stopped) {
-        mCallers.stopListening();
-        mCallers.closeIdle();
+        mCallers.closeIdle(IDLE_AT_STOP);
         long most = mSettings.stopTime().minus(KILL_MARGIN).toMillis();
         boolean late = mClock.millis() - began >= most;
         if (mCallers.busyConnections() == 0 || late) {
+            mCallers.stopListening();
             LogEvent.named("node_stopped")
                     .number("requests_under_way", mForwarder.underWay())
                     .writeTo(LOGGER);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
@@ -4,8 +4,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.foxtailridge.configuration.model.ClientAccount;
@@ -45,6 +47,7 @@
     // Leaves connections for nodes that are not known yet and for orders and reports.
     private static final double CONNECTION_SHARE = 0.8;
     private static final int LEAST_CONNECTIONS = 4;
+    private static final String VERSION_UNKNOWN = "";
     // An endpoint that was found to be another one is asked again after this time.
     private static final long MISPLACED_MILLISECONDS = 1_000;
 
@@ -224,20 +227,38 @@
     }
 
     private List<Resident> residents(EndpointAnnouncement endpoint, long now) {
+        String id = endpoint.id();
+        long start = endpoint.startMilliseconds();
         List<Resident> residents = new ArrayList<>();
+        Set<String> announced = new HashSet<>();
         for (HeldModel model : endpoint.models()) {
             String name = RequestTargets.modelName(endpoint.service(), model.name());
-            if (mAdapters.isLeaving(endpoint.id(), endpoint.startMilliseconds(), name, now)) {
-                continue;
+            announced.add(name);
+            if (!mAdapters.isLeaving(id, start, name, now)) {
+                residents.add(Resident.model(name, Long.toString(model.version())));
+                addAdapters(residents, endpoint, name, model.adapters(), now);
+            }
+        }
+        for (String name : mAdapters.arrived(id, start, now)) {
+            if (!announced.contains(name)) {
+                residents.add(Resident.model(name, VERSION_UNKNOWN));
+                addAdapters(residents, endpoint, name, List.of(), now);
             }
-            residents.add(Resident.model(name, Long.toString(model.version())));
-            mAdapters
-                    .of(endpoint.id(), endpoint.startMilliseconds(), name, model.adapters(), now)
-                    .forEach(adapter -> residents.add(Resident.adapter(name, adapter, "")));
         }
         return residents;
     }
 
+    private void addAdapters(
+            List<Resident> residents,
+            EndpointAnnouncement endpoint,
+            String model,
+            List<String> announced,
+            long now) {
+        mAdapters.of(endpoint.id(), endpoint.startMilliseconds(), model, announced, now).stream()
+                .filter(adapter -> !adapter.equals(AdapterBeliefs.MODEL_ITSELF))
+                .forEach(adapter -> residents.add(Resident.adapter(model, adapter, "")));
+    }
+
     /** Tells the queue all endpoints, services and client accounts. */
     private void configureQueue() {
         if (mConfiguration.isEmpty()) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
@@ -154,6 +154,11 @@
         onResidence(residence);
     }
 
+    @Override
+    public void modelArrived(String engine, long engineStart, String model) {
+        adapterResident(engine, engineStart, model, AdapterBeliefs.MODEL_ITSELF, true);
+    }
+
     @Override
     public void modelLeaves(String engine, long engineStart, String model) {
         adapterResident(engine, engineStart, model, AdapterBeliefs.MODEL_ITSELF, false);
@@ -279,14 +284,14 @@
                 .forEach(
                         (name, demand) -> {
                             // What came and went between two reports counts as one under way.
-                            int count = Math.max(demand.underWay(), came(demand) ? 1 : 0);
-                            underWay.put(name, (double) count);
+                            double count = Math.max(demand.underWay(), came(demand) ? 1 : 0);
+                            underWay.put(name, count);
                             report.addModels(
                                     ModelDemand.newBuilder()
                                             .setModel(name)
                                             .setRequestsPerSecond(demand.requestsPerSecond())
                                             .setTokensPerSecond(demand.tokensPerSecond())
-                                            .setRunning(count));
+                                            .setRunning((int) Math.ceil(count)));
                         });
         for (EndpointAnnouncement endpoint : mEndpoints.all()) {
             int inFlight = mEndpoints.inFlight(endpoint);
@@ -321,6 +326,7 @@
                                 onReport(found.get(), report);
                             } else {
                                 LOGGER.debug("no report of {}: {}", engine, failure.toString());
+                                mPlacement.noReport(engine);
                             }
                         });
     }
--- /dev/null
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/ForwardedDemandTest.java
@@ -0,0 +1,100 @@
+package org.foxtailridge.forwarding.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.foxtailridge.core.time.ManualClock;
+import org.foxtailridge.forwarding.configuration.ForwardingRoute;
+import org.foxtailridge.forwarding.configuration.RequestKind;
+import org.foxtailridge.forwarding.configuration.WeightedService;
+import org.foxtailridge.forwarding.request.RequestFacts;
+import org.foxtailridge.forwarding.request.RequestTerms;
+import org.foxtailridge.forwarding.request.WantedModel;
+import org.junit.jupiter.api.Test;
+
+/** The pattern: more requests come for a model than its copies can serve, and are refused. */
+class ForwardedDemandTest {
+    private static final String MODEL = RequestTargets.modelName("service", "m");
+
+    private final ManualClock mClock = ManualClock.atEpoch();
+    private final ForwardedDemand mDemand = new ForwardedDemand(mClock);
+
+    @Test
+    void should_count_requests_that_are_under_way() {
+        // WHEN
+        mDemand.arrived(terms());
+        mDemand.arrived(terms());
+        mDemand.ended(terms());
+        // THEN
+        assertThat(take().underWay()).isEqualTo(1);
+    }
+
+    @Test
+    void should_count_requests_on_that_were_refused_for_want_of_room() {
+        // GIVEN
+        for (int request = 0; request < 10; request++) {
+            mDemand.arrived(terms());
+            mDemand.unserved(terms());
+            mDemand.ended(terms());
+        }
+        // THEN
+        assertThat(take().underWay()).isEqualTo(10);
+    }
+
+    @Test
+    void should_forget_refused_requests_after_the_time_that_they_would_have_run() {
+        // GIVEN
+        mDemand.arrived(terms());
+        mDemand.unserved(terms());
+        mDemand.ended(terms());
+        // WHEN
+        mClock.advance(Duration.ofSeconds(2));
+        take();
+        // THEN
+        assertThat(take().underWay()).isCloseTo(Math.exp(-1), within(0.01));
+        mClock.advance(Duration.ofSeconds(10));
+        take();
+        assertThat(mDemand.take()).isEmpty();
+    }
+
+    private ForwardedDemand.Demand take() {
+        return mDemand.take().get(MODEL);
+    }
+
+    private static RequestTerms terms() {
+        ForwardingRoute route =
+                new ForwardingRoute(
+                        "route",
+                        "host",
+                        "/",
+                        RequestKind.STREAM,
+                        Duration.ofSeconds(15),
+                        Duration.ofMillis(400),
+                        0,
+                        List.of(new WeightedService("service", 1)),
+                        1,
+                        true,
+                        false,
+                        Optional.empty(),
+                        Optional.empty());
+        RequestFacts facts =
+                new RequestFacts(
+                        "request",
+                        "host",
+                        "/",
+                        Optional.empty(),
+                        OptionalLong.empty(),
+                        Optional.of(new WantedModel("m", Optional.empty())),
+                        OptionalInt.empty(),
+                        OptionalInt.empty(),
+                        OptionalInt.empty(),
+                        List.of(),
+                        Optional.empty());
+        return new RequestTerms("run", facts, route, "service", Optional.empty(), 0, 15_000, 0);
+    }
+}
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
@@ -47,6 +47,24 @@
                 .isEqualTo(1);
     }
 
+    @Test
+    void should_send_callers_of_a_crowded_model_back_late_and_spread() {
+        // GIVEN callers that have 15 s, of which they wait 5 s at most
+        LongStream returns =
+                LongStream.generate(
+                                () ->
+                                        mRule.milliseconds(
+                                                terms("m", 15_000),
+                                                ErrorKind.DEADLINE_UNREACHABLE,
+                                                0,
+                                                0))
+                        .limit(100);
+        // THEN
+        long[] sorted = returns.sorted().toArray();
+        assertThat(sorted[0]).isBetween(2_500L, 2_700L);
+        assertThat(sorted[99]).isBetween(4_800L, 5_000L);
+    }
+
     @Test
     void should_keep_to_the_time_at_which_tokens_are_there_again() {
         assertThat(mRule.milliseconds(terms("m", 15_000), ErrorKind.RATE_EXCEEDED, 700, 0))
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
@@ -47,6 +47,7 @@
     private Optional<OrderLease> mLease = Optional.empty();
     private long mNextNumber = 1;
     private long mPlannedMilliseconds;
+    private long mHolderSinceMilliseconds;
 
     /** Creates a placement that knows no engines and has no lease. */
     public AnnouncedPlacement(
@@ -75,8 +76,21 @@
         EngineState state = mEngines.get(view.engine());
         if (state == null) {
             mEngines.put(view.engine(), new EngineState(view));
-        } else {
-            state.update(view, mClock.millis());
+            return;
+        }
+        Optional<String> loading = state.loading();
+        state.update(view, mClock.millis());
+        loading.filter(state::serves)
+                .filter(model -> state.loading().isEmpty())
+                .ifPresent(
+                        model -> mOutbox.modelArrived(state.name(), state.view().start(), model));
+    }
+
+    /** Notes that an engine did not answer when it was asked for a report. */
+    public void noReport(String engine) {
+        EngineState state = mEngines.get(engine);
+        if (state != null) {
+            state.noReport();
         }
     }
 
@@ -103,6 +117,7 @@
                         && (mLease.isEmpty() || mLease.get().fencing() != lease.get().fencing());
         if (other) {
             // The holder before may have begun loads a moment ago.
+            mHolderSinceMilliseconds = mClock.millis();
             mStores.values().forEach(StoreLoads::empty);
             mEngines.values().forEach(EngineState::forgetOrders);
         }
@@ -182,7 +197,15 @@
         store.advance(pool.storeLoadsPerSecond(), now);
         Map<String, CopyPlanner.RoomBeingMade> room =
                 mRoom.computeIfAbsent(pool.service(), name -> new HashMap<>());
-        new CopyPlanner(mSettings, pool, engines, mDemands, room, store, now)
+        new CopyPlanner(
+                        mSettings,
+                        pool,
+                        engines,
+                        mDemands,
+                        room,
+                        store,
+                        mHolderSinceMilliseconds,
+                        now)
                 .plan()
                 .forEach(step -> order(step.engine(), step.load(), step.model(), Optional.empty()));
     }
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementSettings.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementSettings.java
@@ -51,7 +51,7 @@
                 3,
                 8,
                 3,
-                Duration.ofSeconds(10),
+                Duration.ofSeconds(5),
                 Duration.ofSeconds(4),
                 2,
                 Duration.ofSeconds(10));
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -9,19 +9,27 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Decides which model is to be loaded next where, and what makes room for it.
  *
- * <p>A listed model without a copy comes first when requests wait for it, then one without, then
- * models whose copies carry the most. A copy makes room only while its model keeps as many copies
- * as it needs; the last copy of a model that nobody asks for gives way only to one that is asked
- * for and has none.
+ * <p>Those models come first whose requests gain the most: the ones that most requests ask for of
+ * each copy, where requests for a model without a copy count several times. A copy makes room only
+ * while its model keeps as many copies as it needs; the last copy of a model that nobody asks for
+ * gives way only to one that is asked for and has none.
  */
 final class CopyPlanner {
-    private static final double NO_COPY_ASKED_FOR = 1e9;
-    private static final double NO_COPY = 1e6;
+    // Nobody who asks for a model without a copy is served, most who ask for a crowded one are.
+    private static final double NO_COPY_FACTOR = 4;
+    // A model without a copy that nobody asks for comes before copies that carry less than this.
+    private static final double NO_COPY = 4;
     private static final double IDLE_REQUESTS = 0.3;
+    // A data centre that is cut off has only its own copies; worth waiting for a load from the
+    // store.
+    private static final double SAME_DATA_CENTRE = 5;
+    // Time that the last run on a copy takes to end once the copy gets no new ones.
+    private static final double RUN_SECONDS = 3;
     // A model without a copy keeps the next request for it waiting for a whole load.
     private static final double LAST_COPY_LOSS = 4;
 
@@ -31,7 +39,9 @@
     private final ModelDemands mDemands;
     private final Map<String, RoomBeingMade> mRoom;
     private final StoreLoads mStore;
+    private final long mHolderSinceMilliseconds;
     private final long mNow;
+    private final Set<String> mDataCentres;
     private final Set<EngineState> mUsed = new HashSet<>();
     private final Map<String, Integer> mPlanned = new HashMap<>();
 
@@ -42,6 +52,7 @@
             ModelDemands demands,
             Map<String, RoomBeingMade> room,
             StoreLoads store,
+            long holderSinceMilliseconds,
             long now) {
         mSettings = settings;
         mPool = pool;
@@ -49,18 +60,24 @@
         mDemands = demands;
         mRoom = room;
         mStore = store;
+        mHolderSinceMilliseconds = holderSinceMilliseconds;
         mNow = now;
+        mDataCentres =
+                mEngines.stream()
+                        .filter(EngineState::isUsable)
+                        .map(engine -> engine.view().dataCentre())
+                        .collect(Collectors.toSet());
     }
 
     /** Returns the steps to take now, one for each engine at most. */
     List<CopyStep> plan() {
-        mRoom.values().removeIf(room -> mNow >= room.untilMilliseconds());
+        mRoom.values().removeIf(this::isLost);
         List<Want> wants = new ArrayList<>();
         for (ModelSize model : mPool.models()) {
             want(model).ifPresent(wants::add);
         }
         wants.sort(Comparator.comparingDouble(Want::urgency).reversed());
-        List<CopyStep> steps = new ArrayList<>();
+        List<CopyStep> steps = new ArrayList<>(repeats());
         for (Want want : wants) {
             step(want)
                     .ifPresent(
@@ -73,6 +90,46 @@
         return steps;
     }
 
+    /** Returns whether room won't be there in time, so that it is made elsewhere. */
+    private boolean isLost(RoomBeingMade room) {
+        boolean usable =
+                mEngines.stream()
+                        .filter(engine -> engine.name().equals(room.engine()))
+                        .anyMatch(engine -> engine.isUsable() && !engine.isDoubtful());
+        return !usable || mNow >= room.untilMilliseconds();
+    }
+
+    /** Returns the orders without an answer that are sent once more. */
+    private List<CopyStep> repeats() {
+        List<CopyStep> steps = new ArrayList<>();
+        for (EngineState engine : mEngines) {
+            if (engine.isUsable()) {
+                engine.unansweredOrder()
+                        .filter(order -> order.adapter().isEmpty() && mayRepeat(engine, order))
+                        .ifPresent(
+                                order -> {
+                                    mUsed.add(engine);
+                                    String model = order.model();
+                                    steps.add(new CopyStep(engine, order.load(), model, model));
+                                });
+            }
+        }
+        return steps;
+    }
+
+    private boolean mayRepeat(EngineState engine, ModelOrder order) {
+        if (!order.load()) {
+            return copies(order.model()) > 1 || mPool.model(order.model()).isEmpty();
+        }
+        Optional<ModelSize> model = mPool.model(order.model());
+        if (model.isEmpty()) {
+            return false;
+        }
+        // An engine that has restarted since then may hold something else by now.
+        boolean fits = engine.chargedMegabytes(mPool) <= mPool.megabytes();
+        return fits && (isAtHand(engine, model.get()) || mStore.tryTake());
+    }
+
     private Optional<Want> want(ModelSize model) {
         String name = model.name();
         double demand = mDemands.of(name);
@@ -84,10 +141,7 @@
             return Optional.empty();
         }
         double load = demand / Math.max(1, copies);
-        double urgency = load;
-        if (copies == 0) {
-            urgency += demand > 0 ? NO_COPY_ASKED_FOR : NO_COPY;
-        }
+        double urgency = copies == 0 ? NO_COPY + load * NO_COPY_FACTOR : load;
         return Optional.of(new Want(model, copies, load, urgency));
     }
 
@@ -99,13 +153,17 @@
 
     /** Returns the copies that a model is to have. */
     private int needed(String model) {
-        double demand = mDemands.of(model);
+        double loadSeconds = mPool.model(model).map(ModelSize::storeSeconds).orElse(0.0);
+        double demand = mDemands.ahead(model, loadSeconds);
         int byLoad = (int) Math.ceil(demand / (mPool.slots() * mSettings.fillTarget()));
         boolean active = demand >= mSettings.activeRequests();
         // Until anything was asked for, the copies at the start are all that is known of demand.
         boolean popular = !mDemands.isKnown() && copies(model) > 1;
         int least = active || popular ? 2 : 1;
-        long usable = mEngines.stream().filter(engine -> engine.view().usable()).count();
+        if (demand >= mSettings.crowdedRequests()) {
+            least = Math.max(least, mDataCentres.size());
+        }
+        long usable = mEngines.stream().filter(EngineState::isUsable).count();
         return (int) Math.min(usable, Math.max(least, byLoad));
     }
 
@@ -114,7 +172,7 @@
         List<Place> places = new ArrayList<>();
         for (EngineState engine : mEngines) {
             boolean elsewhere = room != null && !room.engine().equals(engine.name());
-            if (!elsewhere && isEligible(engine, want.model().name())) {
+            if (!elsewhere && isEligible(engine, want.model())) {
                 place(engine, want).ifPresent(places::add);
             }
         }
@@ -123,15 +181,27 @@
                 .flatMap(place -> begin(place, want));
     }
 
-    private boolean isEligible(EngineState engine, String model) {
-        long late = mSettings.lateOrderLife().toMillis();
-        return engine.view().usable()
+    private boolean isEligible(EngineState engine, ModelSize model) {
+        return engine.isUsable()
                 && !mUsed.contains(engine)
                 && engine.isIdle()
                 && !engine.isDoubtful()
-                && !engine.holds(model)
-                && isFreeFor(engine, model)
-                && !(engine.hasRestartedWithin(late, mNow) && engine.models().size() > 1);
+                && !engine.holds(model.name())
+                && isFreeFor(engine, model.name())
+                && fitsBesideLateOrder(engine, model);
+    }
+
+    /**
+     * Returns whether a model fits beside one that an order to the engine's life before, which
+     * comes late and happens to name the right number, may still load.
+     */
+    private boolean fitsBesideLateOrder(EngineState engine, ModelSize model) {
+        boolean mayCome =
+                engine.hasRestartedSince(
+                        mNow - mSettings.lateOrderLife().toMillis(), mHolderSinceMilliseconds);
+        double largest = mPool.models().stream().mapToDouble(ModelSize::megabytes).max().orElse(0);
+        double charged = engine.chargedMegabytes(mPool) + model.megabytes();
+        return !mayCome || charged + largest <= mPool.megabytes();
     }
 
     /** Returns whether no other model has room made for it on the engine. */
@@ -159,7 +229,12 @@
         if (missing > 0) {
             return Optional.empty();
         }
-        double cost = loadSeconds(engine, want.model()) + lost + engineLoad(engine);
+        double cost =
+                loadSeconds(engine, want.model())
+                        + lost
+                        + unloadSeconds(victims)
+                        + crowding(engine, want.model().name())
+                        + engineLoad(engine);
         return Optional.of(new Place(engine, victims, cost));
     }
 
@@ -176,7 +251,7 @@
             return true;
         }
         int copies = copies(model);
-        boolean urgent = want.urgency() >= NO_COPY_ASKED_FOR;
+        boolean urgent = want.copies() == 0 && want.load() > 0;
         if (copies <= 1) {
             return urgent && mDemands.of(model) < IDLE_REQUESTS;
         }
@@ -201,6 +276,23 @@
         return mDemands.of(model) / Math.max(1, copies(model));
     }
 
+    /** Returns what a further copy in a data centre is worth less than a first one there. */
+    private double crowding(EngineState engine, String model) {
+        String dataCentre = engine.view().dataCentre();
+        boolean held =
+                mEngines.stream()
+                        .filter(other -> other.view().dataCentre().equals(dataCentre))
+                        .anyMatch(other -> other.serves(model) || other.isLoading(model));
+        return held ? SAME_DATA_CENTRE : 0;
+    }
+
+    /** Returns the time until the runs of models that make room have ended, one after another. */
+    private double unloadSeconds(List<String> victims) {
+        return victims.stream()
+                .mapToDouble(victim -> Math.min(1, loadPerCopy(victim)) * RUN_SECONDS)
+                .sum();
+    }
+
     private double engineLoad(EngineState engine) {
         double load = 0;
         for (String model : engine.models()) {
@@ -231,11 +323,8 @@
             String victim = place.victims().get(0);
             return Optional.of(new CopyStep(place.engine(), false, victim, model));
         }
-        if (!isAtHand(place.engine(), want.model())) {
-            if (!mStore.isAvailable()) {
-                return Optional.empty();
-            }
-            mStore.take();
+        if (!isAtHand(place.engine(), want.model()) && !mStore.tryTake()) {
+            return Optional.empty();
         }
         mRoom.remove(model);
         return Optional.of(new CopyStep(place.engine(), true, model, model));
--- a/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
@@ -21,6 +21,8 @@
     // Announcements come every second or so and lag; reports are some hundred milliseconds old.
     private static final long ANNOUNCEMENT_LAG_MILLISECONDS = 3_000;
     private static final long ADAPTER_IN_USE_MILLISECONDS = 400;
+    // An engine that crashes is announced for some seconds more; one answer may be lost.
+    private static final int MOST_UNANSWERED = 3;
 
     private final String mName;
     private final Map<String, Map<String, Long>> mHeld = new LinkedHashMap<>();
@@ -29,6 +31,7 @@
     private EngineView mView;
     private OptionalLong mOrders = OptionalLong.empty();
     private ModelOrder mInFlight;
+    private int mUnanswered;
     private long mInFlightSince;
     private String mLoading;
     private String mUnloading;
@@ -65,6 +68,7 @@
     }
 
     private void takeReport(EngineView view) {
+        mUnanswered = 0;
         long orders = view.ordersAccepted().getAsLong();
         if (mOrders.isPresent() && orders < mOrders.getAsLong()) {
             return;
@@ -88,6 +92,7 @@
 
     private void restart(EngineView view, long now) {
         mRestartedMilliseconds = now;
+        mUnanswered = 0;
         mInFlight = null;
         mLoading = null;
         mUnloading = null;
@@ -136,6 +141,11 @@
         return uses;
     }
 
+    /** Returns the model that the engine is loading; empty when it loads none. */
+    Optional<String> loading() {
+        return Optional.ofNullable(mLoading);
+    }
+
     /** Returns the orders that the engine has accepted; empty until it was asked. */
     OptionalLong orders() {
         return mOrders;
@@ -182,11 +192,21 @@
 
     /** Returns whether the engine serves a model and is not about to drop it. */
     boolean serves(String model) {
-        return mView.usable() && holds(model) && !isUnloading(model);
+        return isUsable() && holds(model) && !isUnloading(model);
     }
 
     boolean isLoading(String model) {
-        return model.equals(mLoading) || isOrdered(model, true);
+        return isUsable() && (model.equals(mLoading) || isOrdered(model, true));
+    }
+
+    /** Returns whether the engine takes work, as far as its announcement and questions tell. */
+    boolean isUsable() {
+        return mView.usable() && mUnanswered < MOST_UNANSWERED;
+    }
+
+    /** Notes that the engine did not answer when asked for a report. */
+    void noReport() {
+        mUnanswered++;
     }
 
     private boolean isUnloading(String model) {
@@ -216,8 +236,17 @@
         return mInFlight == null && (mOrders.isEmpty() || isChangingModels());
     }
 
-    boolean hasRestartedWithin(long milliseconds, long now) {
-        return now - mRestartedMilliseconds < milliseconds;
+    /**
+     * Returns whether the engine may have had a life before, under the same name, after an instant.
+     *
+     * @param milliseconds the instant
+     * @param observedSinceMilliseconds since when its restarts have been seen; before, every start
+     *     may have been one
+     */
+    boolean hasRestartedSince(long milliseconds, long observedSinceMilliseconds) {
+        boolean startedUnseen =
+                mView.start() < observedSinceMilliseconds && mView.start() > milliseconds;
+        return mRestartedMilliseconds > milliseconds || startedUnseen;
     }
 
     ModelOrder inFlight() {
@@ -255,8 +284,27 @@
         mDoubts.removeIf(doubt -> doubt.sentMilliseconds() < milliseconds);
     }
 
+    /**
+     * Returns whether an order about a model may still be carried out. One about an adapter stands
+     * in nobody's way: it is charged, and any other order takes its number.
+     */
     boolean isDoubtful() {
-        return !mDoubts.isEmpty();
+        return mDoubts.stream().anyMatch(doubt -> doubt.order().adapter().isEmpty());
+    }
+
+    /**
+     * Returns the order about a model that has no answer and was not carried out so far. Sent once
+     * more, it is carried out once at most, as both name the same number of accepted orders.
+     */
+    Optional<ModelOrder> unansweredOrder() {
+        if (!isIdle()) {
+            return Optional.empty();
+        }
+        return mDoubts.stream()
+                .map(Doubt::order)
+                .filter(order -> order.adapter().isEmpty())
+                .filter(order -> order.expectedOrders() == mOrders.getAsLong())
+                .findFirst();
     }
 
     /** Returns the memory that is or may be in use, in megabytes. */
@@ -279,6 +327,8 @@
 
     private void accepted(ModelOrder order, long now) {
         mOrders = OptionalLong.of(order.expectedOrders() + 1);
+        // The engine has counted past them, so that it won't carry them out any more.
+        mDoubts.removeIf(doubt -> doubt.order().expectedOrders() <= order.expectedOrders());
         if (order.adapter().isPresent()) {
             changeAdapter(order, now);
         } else if (order.load()) {
--- a/placement/src/main/java/org/foxtailridge/placement/announced/EngineView.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/EngineView.java
@@ -11,6 +11,7 @@
  *
  * @param engine name of the engine
  * @param service name of its service
+ * @param dataCentre name of its data centre
  * @param start instant of its process's start, in milliseconds since the epoch
  * @param usable whether it takes work
  * @param ordersAccepted orders that it has accepted since its start; empty in an announcement,
@@ -23,6 +24,7 @@
 public record EngineView(
         String engine,
         String service,
+        String dataCentre,
         long start,
         boolean usable,
         OptionalLong ordersAccepted,
@@ -34,6 +36,7 @@
     public EngineView {
         Objects.requireNonNull(engine, "engine");
         Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(dataCentre, "dataCentre");
         Objects.requireNonNull(ordersAccepted, "ordersAccepted");
         adapters = Map.copyOf(adapters);
         inHostMemory = Set.copyOf(inHostMemory);
@@ -44,6 +47,7 @@
         return new EngineView(
                 engine,
                 service,
+                dataCentre,
                 start,
                 takesWork,
                 ordersAccepted,
--- a/placement/src/main/java/org/foxtailridge/placement/announced/StoreLoads.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/StoreLoads.java
@@ -25,11 +25,12 @@
         mLevel = 0;
     }
 
-    boolean isAvailable() {
-        return mLevel >= 1;
-    }
-
-    void take() {
+    /** Takes one load if it may begin now. */
+    boolean tryTake() {
+        if (mLevel < 1) {
+            return false;
+        }
         mLevel -= 1;
+        return true;
     }
 }
--- a/placement/src/test/java/org/foxtailridge/placement/announced/SimulatedEngine.java
+++ b/placement/src/test/java/org/foxtailridge/placement/announced/SimulatedEngine.java
@@ -14,6 +14,7 @@
     private static final long LOAD_MILLISECONDS = 1_500;
 
     private final String mName;
+    private final String mDataCentre;
     private final PoolSize mPool;
     private final Map<String, Set<String>> mHeld = new LinkedHashMap<>();
     private final List<LateOrder> mLate = new ArrayList<>();
@@ -23,8 +24,9 @@
     private String mLoading;
     private long mLoadedAt;
 
-    SimulatedEngine(String name, PoolSize pool) {
+    SimulatedEngine(String name, String dataCentre, PoolSize pool) {
         mName = name;
+        mDataCentre = dataCentre;
         mPool = pool;
     }
 
@@ -32,6 +34,10 @@
         mHeld.put(model, new LinkedHashSet<>());
     }
 
+    String dataCentre() {
+        return mDataCentre;
+    }
+
     List<String> violations() {
         return mViolations;
     }
@@ -40,8 +46,8 @@
         return mHeld.containsKey(model);
     }
 
-    void restart() {
-        mStart++;
+    void restart(long now) {
+        mStart = now;
         mOrders = 0;
         mHeld.clear();
         mLoading = null;
@@ -75,6 +81,7 @@
         return new EngineView(
                 mName,
                 mPool.service(),
+                mDataCentre,
                 mStart,
                 true,
                 OptionalLong.of(mOrders),
@@ -91,6 +98,9 @@
         if (order.adapter().isPresent() && !mHeld.containsKey(order.model())) {
             return ModelOrderAnswer.REFUSED;
         }
+        if (order.load() && order.adapter().isEmpty() && mHeld.containsKey(order.model())) {
+            return ModelOrderAnswer.HOLDS;
+        }
         mOrders++;
         if (order.adapter().isPresent()) {
             changeAdapter(order);
