--- a/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
+++ b/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
@@ -8,7 +8,6 @@
 import java.time.Clock;
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.log.LogEvent;
 import org.foxtailridge.core.time.MonotonicClock;
@@ -23,7 +22,6 @@
 
 /** Runs a node on the platform until the process is told to stop. */
 public final class PlatformNodeMain {
-    private static final Logger LOGGER = LogManager.getLogger(PlatformNodeMain.class);
     private static final String SETTINGS_VARIABLE = "FOXTAILRIDGE_NODE_FILE";
     private static final int USAGE_ERROR = 2;
     private static final int CONNECTIONS_PER_ADDRESS = 6;
@@ -35,6 +33,7 @@
 
     /** Starts the process; exits with 2 when the settings are refused. */
     public static void main(String[] arguments) throws InterruptedException {
+        PlatformLogging.start();
         try {
             if (arguments.length == 2 && arguments[0].equals(REHEARSE)) {
                 rehearse(arguments[1]);
@@ -96,7 +95,7 @@
                 signal ->
                         LogEvent.named("reload_ignored")
                                 .text("reason", "settings are read at the start only")
-                                .writeTo(LOGGER));
+                                .writeTo(LogManager.getLogger(PlatformNodeMain.class)));
         node.start();
         stopped.await();
         LogManager.shutdown();
