Explain requests, endpoints, accounts, models and duties from nodes' lines

Cause: the way from a request's id to its cause was a page of instructions; with lines of several nodes that is slow and error-prone for whoever is on call. Change: `foxtailridge explain` reads files or standard input, keeps the lines about a subject in the order of their times, names the cause of a request's end, what was last ordered for its model and where to look next, as text or JSON; it counts lines that are no node's, and says that lines may have been left out when none names the subject.

--- a/cli/src/main/java/org/foxtailridge/cli/Foxtailridge.java
+++ b/cli/src/main/java/org/foxtailridge/cli/Foxtailridge.java
@@ -13,6 +13,7 @@
 import org.foxtailridge.cli.configuration.PublishCommand;
 import org.foxtailridge.cli.configuration.ShowCommand;
 import org.foxtailridge.cli.configuration.ValidateCommand;
+import org.foxtailridge.cli.explain.ExplainCommand;
 import org.foxtailridge.cli.key.GiveCommand;
 import org.foxtailridge.cli.key.ListCommand;
 import org.foxtailridge.cli.key.WithdrawCommand;
@@ -46,6 +47,7 @@
             QuickstartCommand.class,
             StatusCommand.class,
             ReportCommand.class,
+            ExplainCommand.class,
             LoadCommand.class
         },
         groups = {
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/ForwardedDemandTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/ForwardedDemandTest.java
@@ -4,17 +4,10 @@
 import static org.assertj.core.api.Assertions.within;
 
 import java.time.Duration;
-import java.util.List;
-import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import org.foxtailridge.core.time.ManualClock;
-import org.foxtailridge.forwarding.configuration.ForwardingRoute;
 import org.foxtailridge.forwarding.configuration.RequestKind;
-import org.foxtailridge.forwarding.configuration.WeightedService;
-import org.foxtailridge.forwarding.request.RequestFacts;
 import org.foxtailridge.forwarding.request.RequestTerms;
-import org.foxtailridge.forwarding.request.WantedModel;
+import org.foxtailridge.forwarding.request.TestTerms;
 import org.junit.jupiter.api.Test;
 
 /** The pattern: more requests come for a model than its copies can serve, and are refused. */
@@ -67,34 +60,6 @@
     }
 
     private static RequestTerms terms() {
-        ForwardingRoute route =
-                new ForwardingRoute(
-                        "route",
-                        "host",
-                        "/",
-                        RequestKind.STREAM,
-                        Duration.ofSeconds(15),
-                        Duration.ofMillis(400),
-                        0,
-                        List.of(new WeightedService("service", 1)),
-                        1,
-                        true,
-                        false,
-                        Optional.empty(),
-                        Optional.empty());
-        RequestFacts facts =
-                new RequestFacts(
-                        "request",
-                        "host",
-                        "/",
-                        Optional.empty(),
-                        OptionalLong.empty(),
-                        Optional.of(new WantedModel("m", Optional.empty())),
-                        OptionalInt.empty(),
-                        OptionalInt.empty(),
-                        OptionalInt.empty(),
-                        List.of(),
-                        Optional.empty());
-        return new RequestTerms("run", facts, route, "service", Optional.empty(), 0, 15_000, 0);
+        return TestTerms.of(RequestKind.STREAM).model("m").build();
     }
 }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
@@ -2,20 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
-import java.util.List;
-import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.stream.LongStream;
 import org.foxtailridge.core.error.ErrorKind;
-import org.foxtailridge.forwarding.configuration.ForwardingRoute;
 import org.foxtailridge.forwarding.configuration.RequestKind;
-import org.foxtailridge.forwarding.configuration.WeightedService;
-import org.foxtailridge.forwarding.request.RequestFacts;
 import org.foxtailridge.forwarding.request.RequestTerms;
-import org.foxtailridge.forwarding.request.WantedModel;
+import org.foxtailridge.forwarding.request.TestTerms;
 import org.junit.jupiter.api.Test;
 
 /** The pattern: many callers ask for a model that no engine holds, and are told when to return. */
@@ -72,35 +64,6 @@
     }
 
     private static RequestTerms terms(String model, long endsMilliseconds) {
-        ForwardingRoute route =
-                new ForwardingRoute(
-                        "route",
-                        "host",
-                        "/",
-                        RequestKind.STREAM,
-                        Duration.ofMillis(endsMilliseconds),
-                        Duration.ofMillis(400),
-                        0,
-                        List.of(new WeightedService("service", 1)),
-                        1,
-                        true,
-                        false,
-                        Optional.empty(),
-                        Optional.empty());
-        RequestFacts facts =
-                new RequestFacts(
-                        "request",
-                        "host",
-                        "/",
-                        Optional.empty(),
-                        OptionalLong.empty(),
-                        Optional.of(new WantedModel(model, Optional.empty())),
-                        OptionalInt.empty(),
-                        OptionalInt.empty(),
-                        OptionalInt.empty(),
-                        List.of(),
-                        Optional.empty());
-        return new RequestTerms(
-                "run", facts, route, "service", Optional.empty(), 0, endsMilliseconds, 0);
+        return TestTerms.of(RequestKind.STREAM).model(model).time(endsMilliseconds).build();
     }
 }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestTermsTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestTermsTest.java
@@ -3,11 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
-import org.foxtailridge.forwarding.configuration.ForwardingRoute;
 import org.foxtailridge.forwarding.configuration.RequestKind;
-import org.foxtailridge.forwarding.configuration.WeightedService;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -21,28 +18,12 @@
         "1000, , 875",
     })
     void should_be_given_up_before_its_caller_leaves(long time, Long patience, long expected) {
-        // GIVEN
-        ForwardingRoute route =
-                new ForwardingRoute(
-                        "route",
-                        "host",
-                        "/",
-                        RequestKind.STREAM,
-                        Duration.ofMillis(time),
-                        Duration.ofMillis(400),
-                        0,
-                        List.of(new WeightedService("service", 1)),
-                        1,
-                        true,
-                        false,
-                        Optional.empty(),
-                        Optional.ofNullable(patience).map(Duration::ofMillis));
-        RequestTerms sample = RequestLifeTest.terms(RequestKind.STREAM, false, 1, false);
-
         // WHEN
         RequestTerms terms =
-                new RequestTerms(
-                        "run", sample.facts(), route, "service", Optional.empty(), 0, time, 0);
+                TestTerms.of(RequestKind.STREAM)
+                        .time(time)
+                        .eventPatience(Optional.ofNullable(patience).map(Duration::ofMillis))
+                        .build();
 
         // THEN
         assertThat(terms.startByMilliseconds()).isEqualTo(expected);
