Believe no announcement that is older than a report; load rarely asked models before long

Announcements are up to seconds old while the store is slow; a new holder of the orders that had an engine's report then took an older announcement for what the engine held, forgot a model that the holder before had loaded, and had room on paper. Change: once a report is known only this node's own orders change what an engine holds, announcements tell just whether it takes work; a model that is asked for and has had no copy for 4 s comes first of all. Tests that failed before: AnnouncedPlacementTest#should_not_believe_an_announcement_that_is_older_than_ the_report, CrowdedModelTest#should_serve_a_rarely_asked_model_in_the_end.

--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
@@ -40,6 +40,7 @@
     private final Map<String, PoolSize> mPools = new HashMap<>();
     private final Map<String, EngineState> mEngines = new LinkedHashMap<>();
     private final Map<String, Map<String, CopyPlanner.RoomBeingMade>> mRoom = new HashMap<>();
+    private final Map<String, Long> mMissingSince = new HashMap<>();
     private final Map<String, StoreLoads> mStores = new HashMap<>();
     private final ModelDemands mDemands;
     private final AdapterDesk mAdapters = new AdapterDesk();
@@ -203,6 +204,7 @@
                         engines,
                         mDemands,
                         room,
+                        mMissingSince,
                         store,
                         mHolderSinceMilliseconds,
                         now)
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -24,6 +24,9 @@
     private static final double NO_COPY_FACTOR = 4;
     // A model without a copy that nobody asks for comes before copies that carry less than this.
     private static final double NO_COPY = 4;
+    // Callers come back once, after a third of their time; nobody is to miss a model for good.
+    private static final long LONGEST_MISSING_MILLISECONDS = 4_000;
+    private static final double FIRST_OF_ALL = 1e6;
     private static final double IDLE_REQUESTS = 0.3;
     // A data centre that is cut off has only its own copies; worth waiting for a load from the
     // store.
@@ -38,6 +41,7 @@
     private final List<EngineState> mEngines;
     private final ModelDemands mDemands;
     private final Map<String, RoomBeingMade> mRoom;
+    private final Map<String, Long> mMissingSince;
     private final StoreLoads mStore;
     private final long mHolderSinceMilliseconds;
     private final long mNow;
@@ -51,6 +55,7 @@
             Collection<EngineState> engines,
             ModelDemands demands,
             Map<String, RoomBeingMade> room,
+            Map<String, Long> missingSince,
             StoreLoads store,
             long holderSinceMilliseconds,
             long now) {
@@ -59,6 +64,7 @@
         mEngines = List.copyOf(engines);
         mDemands = demands;
         mRoom = room;
+        mMissingSince = missingSince;
         mStore = store;
         mHolderSinceMilliseconds = holderSinceMilliseconds;
         mNow = now;
@@ -135,16 +141,29 @@
         double demand = mDemands.of(name);
         int coming = (int) mEngines.stream().filter(engine -> engine.isLoading(name)).count();
         int copies = copies(name) + coming;
+        if (copies > 0) {
+            mMissingSince.remove(name);
+        }
         int needed = needed(name);
         if (copies >= needed) {
             mRoom.remove(name);
             return Optional.empty();
         }
         double load = demand / Math.max(1, copies);
-        double urgency = copies == 0 ? NO_COPY + load * NO_COPY_FACTOR : load;
+        double urgency = copies == 0 ? urgencyWithoutCopy(name, load) : load;
         return Optional.of(new Want(model, copies, load, urgency));
     }
 
+    /** Returns the urgency of a model without a copy; the longer it is asked for, the greater. */
+    private double urgencyWithoutCopy(String model, double load) {
+        if (load <= 0) {
+            return NO_COPY;
+        }
+        long missing = mNow - mMissingSince.computeIfAbsent(model, name -> mNow);
+        double urgency = NO_COPY + load * NO_COPY_FACTOR;
+        return missing >= LONGEST_MISSING_MILLISECONDS ? urgency + FIRST_OF_ALL : urgency;
+    }
+
     /** Returns the copies that serve, less those that this plan takes away. */
     private int copies(String model) {
         int serving = (int) mEngines.stream().filter(engine -> engine.serves(model)).count();
--- a/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/EngineState.java
@@ -79,10 +79,14 @@
         adopt(view);
     }
 
+    /**
+     * Takes an announcement, which may be seconds older than the last report. Once a report is
+     * known, nothing but this node's orders changes what the engine holds.
+     */
     private void takeAnnouncement(EngineView view, long now) {
         boolean current = now - mOrderedMilliseconds > ANNOUNCEMENT_LAG_MILLISECONDS;
         boolean settled = mInFlight == null && mLoading == null && mUnloading == null;
-        if (current && settled) {
+        if (mOrders.isEmpty() && current && settled) {
             mView = view;
             adopt(view);
         } else {
--- a/placement/src/test/java/org/foxtailridge/placement/announced/AnnouncedPlacementTest.java
+++ b/placement/src/test/java/org/foxtailridge/placement/announced/AnnouncedPlacementTest.java
@@ -161,4 +161,25 @@
     }
 
     /** The pattern: an engine crashes while it loads the model that most requests ask for. */
+    @Test
+    void should_not_believe_an_announcement_that_is_older_than_the_report() {
+        // GIVEN an engine that reports two large models, and one that is wanted as well
+        PlacementFleet fleet = new PlacementFleet(PlacementFleet.pool(5), 1);
+        fleet.engine(0).hold("m0");
+        EngineView old = PlacementFleet.announced(fleet.engine(0));
+        fleet.engine(0).hold("m1");
+        fleet.lease(1);
+        fleet.run(600);
+
+        // WHEN an announcement arrives late that knows of one of them only
+        fleet.mAnnouncing = false;
+        fleet.mDemand = Map.of("m0", 5.0, "m1", 5.0, "m3", 50.0);
+        for (int step = 0; step < 20; step++) {
+            fleet.mPlacement.engine(old);
+            fleet.run(200);
+        }
+
+        // THEN nothing is loaded beside both
+        assertThat(fleet.violations()).isEmpty();
+    }
 }
--- a/placement/src/test/java/org/foxtailridge/placement/announced/CrowdedModelTest.java
+++ b/placement/src/test/java/org/foxtailridge/placement/announced/CrowdedModelTest.java
@@ -113,4 +113,23 @@
         // THEN
         assertThat(fleet.mResidence).containsEntry("m0", true);
     }
+
+    /** The pattern: crowded models take every place, and a rare one is asked for all the while. */
+    @Test
+    void should_serve_a_rarely_asked_model_in_the_end() {
+        // GIVEN a crowd that takes every load that the weight store allows
+        PlacementFleet fleet = new PlacementFleet(PlacementFleet.pool(2), 24);
+        fleet.engine(0).hold("m1");
+        fleet.mDemand = Map.of("m0", 1_000.0);
+        fleet.lease(1);
+        fleet.run(3_000);
+
+        // WHEN the only copy of the other model is lost, and a request asks for it now and then
+        fleet.engine(0).restart(fleet.mClock.millis());
+        fleet.mDemand = Map.of("m0", 1_000.0, "m1", 0.5);
+        fleet.run(7_000);
+
+        // THEN
+        assertThat(fleet.mOrders).extracting(ModelOrder::model).contains("m1");
+    }
 }
--- a/placement/src/test/java/org/foxtailridge/placement/announced/PlacementFleet.java
+++ b/placement/src/test/java/org/foxtailridge/placement/announced/PlacementFleet.java
@@ -33,6 +33,7 @@
     Random mRandom = new Random(1);
     double mLostShare;
     int mLoseNext;
+    boolean mAnnouncing = true;
     final Set<String> mSilent = new HashSet<>();
 
     PlacementFleet(PoolSize pool, int engines) {
@@ -87,7 +88,7 @@
             mClock.advance(Duration.ofMillis(20));
             long now = mClock.millis();
             mEngines.values().forEach(engine -> engine.advance(now));
-            if (passed % 1_000 == 0) {
+            if (passed % 1_000 == 0 && mAnnouncing) {
                 mEngines.values().forEach(engine -> mPlacement.engine(announced(engine)));
             }
             List<Runnable> due = List.copyOf(mLater);
@@ -98,7 +99,7 @@
         }
     }
 
-    private static EngineView announced(SimulatedEngine engine) {
+    static EngineView announced(SimulatedEngine engine) {
         EngineView report = engine.report();
         return new EngineView(
                 report.engine(),
