Tell of arriving and leaving models by one call; keep an adapter's name apart from its model

Ruled out: a change of behaviour; the tests of these modules keep their assertions. Before and after: `mvn -T 3 verify` of cli, forwarding, placement, routing and what they need passes.

--- a/cli/src/main/java/org/foxtailridge/cli/configuration/ListFiles.java
+++ b/cli/src/main/java/org/foxtailridge/cli/configuration/ListFiles.java
@@ -20,8 +20,7 @@
         try {
             return ConfigurationList.read(file, Files.readString(Path.of(file)));
         } catch (IOException failure) {
-            throw new OptionException(
-                    "a readable file", file + ": " + failure.getClass().getSimpleName());
+            throw OptionException.unreadable(file, failure);
         }
     }
 }
--- a/cli/src/main/java/org/foxtailridge/cli/explain/ExplainCommand.java
+++ b/cli/src/main/java/org/foxtailridge/cli/explain/ExplainCommand.java
@@ -82,8 +82,7 @@
         try (Reader reader = Files.newBufferedReader(Path.of(file), StandardCharsets.UTF_8)) {
             lines.read(file, reader);
         } catch (IOException failure) {
-            throw new OptionException(
-                    "a readable file", file + ": " + failure.getClass().getSimpleName());
+            throw OptionException.unreadable(file, failure);
         }
     }
 
--- a/cli/src/main/java/org/foxtailridge/cli/platform/OptionException.java
+++ b/cli/src/main/java/org/foxtailridge/cli/platform/OptionException.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.cli.platform;
 
+import java.io.IOException;
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.error.FoxtailridgeException;
 
@@ -9,4 +10,10 @@
     public OptionException(String expected, String actual) {
         super(ErrorKind.MALFORMED_REQUEST, "expected " + expected + " but was " + actual);
     }
+
+    /** Returns the failure to read a file that was named. */
+    public static OptionException unreadable(String file, IOException failure) {
+        return new OptionException(
+                "a readable file", file + ": " + failure.getClass().getSimpleName());
+    }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/AdapterBeliefs.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/AdapterBeliefs.java
@@ -32,7 +32,7 @@
 
     /** Returns whether the giver of orders has said that a model leaves. */
     boolean isLeaving(String engine, long start, String model, long now) {
-        return of(engine, start, model, List.of(MODEL_ITSELF), now).isEmpty();
+        return !believed(engine, start, model, List.of(MODEL_ITSELF), now).contains(MODEL_ITSELF);
     }
 
     /** Returns the models that the giver of orders has said to be loaded. */
@@ -51,6 +51,14 @@
 
     /** Returns the adapters of a model that an engine is believed to hold. */
     List<String> of(String engine, long start, String model, List<String> announced, long now) {
+        Set<String> adapters = believed(engine, start, model, announced, now);
+        adapters.remove(MODEL_ITSELF);
+        return new ArrayList<>(adapters);
+    }
+
+    /** Returns what was announced, corrected; the model itself is among it like an adapter. */
+    private Set<String> believed(
+            String engine, long start, String model, List<String> announced, long now) {
         Map<Adapter, Correction> corrections = mCorrections.getOrDefault(engine, Map.of());
         Set<String> believed = new LinkedHashSet<>(announced);
         corrections
@@ -67,7 +75,7 @@
                         believed.remove(adapter.name());
                     }
                 });
-        return new ArrayList<>(believed);
+        return believed;
     }
 
     private record Adapter(String model, String name) {}
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -162,9 +162,8 @@
                 .number("requests_under_way", mForwarder.underWay())
                 .writeTo(LOGGER);
         Instant began = mClock.instant();
-        mForwarder.stop(
-                began.plusMillis(OUT_OF_ROTATION_MILLISECONDS),
-                began.plus(mSettings.stopTime()).minus(KILL_MARGIN));
+        Instant end = began.plus(mSettings.stopTime()).minus(KILL_MARGIN);
+        mForwarder.stop(began.plusMillis(OUT_OF_ROTATION_MILLISECONDS), end);
         mDuties.giveUpAll();
         mMembers.leave();
         if (mEntered) {
@@ -177,9 +176,7 @@
                             });
         }
         mLoop.schedule(
-                () -> drain(began.toEpochMilli(), stopped),
-                OUT_OF_ROTATION_MILLISECONDS,
-                TimeUnit.MILLISECONDS);
+                () -> drain(end, stopped), OUT_OF_ROTATION_MILLISECONDS, TimeUnit.MILLISECONDS);
         return stopped;
     }
 
@@ -213,10 +210,9 @@
      * Finishes what is under way. Connections are still accepted, as the platform sends callers
      * here while too few nodes of the data centre are in rotation.
      */
-    private void drain(long began, CompletableFuture<Void> stopped) {
+    private void drain(Instant end, CompletableFuture<Void> stopped) {
         mCallers.closeIdle(IDLE_AT_STOP);
-        long most = mSettings.stopTime().minus(KILL_MARGIN).toMillis();
-        boolean late = mClock.millis() - began >= most;
+        boolean late = !mClock.instant().isBefore(end);
         if (mCallers.busyConnections() == 0 || late) {
             mCallers.stopListening();
             LogEvent.named("node_stopped")
@@ -225,7 +221,7 @@
             stopped.complete(null);
             return;
         }
-        mLoop.schedule(() -> drain(began, stopped), STOP_CHECK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        mLoop.schedule(() -> drain(end, stopped), STOP_CHECK_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 
     private Forwarder forwarder(SplittableRandom random) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
@@ -254,8 +254,8 @@
             String model,
             List<String> announced,
             long now) {
-        mAdapters.of(endpoint.id(), endpoint.startMilliseconds(), model, announced, now).stream()
-                .filter(adapter -> !adapter.equals(AdapterBeliefs.MODEL_ITSELF))
+        mAdapters
+                .of(endpoint.id(), endpoint.startMilliseconds(), model, announced, now)
                 .forEach(adapter -> residents.add(Resident.adapter(model, adapter, "")));
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
@@ -155,13 +155,8 @@
     }
 
     @Override
-    public void modelArrived(String engine, long engineStart, String model) {
-        adapterResident(engine, engineStart, model, AdapterBeliefs.MODEL_ITSELF, true);
-    }
-
-    @Override
-    public void modelLeaves(String engine, long engineStart, String model) {
-        adapterResident(engine, engineStart, model, AdapterBeliefs.MODEL_ITSELF, false);
+    public void modelResident(String engine, long engineStart, String model, boolean resident) {
+        adapterResident(engine, engineStart, model, AdapterBeliefs.MODEL_ITSELF, resident);
     }
 
     @Override
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacement.java
@@ -84,7 +84,9 @@
         loading.filter(state::serves)
                 .filter(model -> state.loading().isEmpty())
                 .ifPresent(
-                        model -> mOutbox.modelArrived(state.name(), state.view().start(), model));
+                        model ->
+                                mOutbox.modelResident(
+                                        state.name(), state.view().start(), model, true));
     }
 
     /** Notes that an engine did not answer when it was asked for a report. */
@@ -245,7 +247,7 @@
                     state.name(), state.view().start(), model, adapter.get(), false);
         }
         if (adapter.isEmpty() && !load) {
-            mOutbox.modelLeaves(state.name(), state.view().start(), model);
+            mOutbox.modelResident(state.name(), state.view().start(), model, false);
         }
         LogEvent.named("order_sent")
                 .text("endpoint", state.name())
--- a/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementOutbox.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/AnnouncedPlacementOutbox.java
@@ -16,11 +16,11 @@
     void adapterResident(
             String engine, long engineStart, String model, String adapter, boolean resident);
 
-    /** Tells all nodes that an engine has loaded a model, which its announcement says later. */
-    void modelArrived(String engine, long engineStart, String model);
-
-    /** Tells all nodes that an engine is about to drop a model. */
-    void modelLeaves(String engine, long engineStart, String model);
+    /**
+     * Tells all nodes that an engine has loaded a model or is about to drop it, which its
+     * announcement says later.
+     */
+    void modelResident(String engine, long engineStart, String model, boolean resident);
 
     /** Asks an engine what it holds now, unless it is being asked already. */
     void askReport(String engine);
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -111,7 +111,7 @@
         for (EngineState engine : mEngines) {
             if (engine.isUsable()) {
                 engine.unansweredOrder()
-                        .filter(order -> order.adapter().isEmpty() && mayRepeat(engine, order))
+                        .filter(order -> mayRepeat(engine, order))
                         .ifPresent(
                                 order -> {
                                     mUsed.add(engine);
@@ -133,7 +133,7 @@
         }
         // An engine that has restarted since then may hold something else by now.
         boolean fits = engine.chargedMegabytes(mPool) <= mPool.megabytes();
-        return fits && (isAtHand(engine, model.get()) || mStore.tryTake());
+        return fits && mayLoad(engine, model.get());
     }
 
     private Optional<Want> want(ModelSize model) {
@@ -329,9 +329,12 @@
                 : model.storeSeconds();
     }
 
-    private static boolean isAtHand(EngineState engine, ModelSize model) {
-        return engine.view().inHostMemory().contains(model.name())
-                || engine.view().onDisk().contains(model.name());
+    /** Returns whether a load may begin now; one from the weight store is taken from its budget. */
+    private boolean mayLoad(EngineState engine, ModelSize model) {
+        boolean atHand =
+                engine.view().inHostMemory().contains(model.name())
+                        || engine.view().onDisk().contains(model.name());
+        return atHand || mStore.tryTake();
     }
 
     private Optional<CopyStep> begin(Place place, Want want) {
@@ -342,7 +345,7 @@
             String victim = place.victims().get(0);
             return Optional.of(new CopyStep(place.engine(), false, victim, model));
         }
-        if (!isAtHand(place.engine(), want.model()) && !mStore.tryTake()) {
+        if (!mayLoad(place.engine(), want.model())) {
             return Optional.empty();
         }
         mRoom.remove(model);
--- a/placement/src/test/java/org/foxtailridge/placement/announced/PlacementFleet.java
+++ b/placement/src/test/java/org/foxtailridge/placement/announced/PlacementFleet.java
@@ -131,13 +131,8 @@
     }
 
     @Override
-    public void modelArrived(String engine, long start, String model) {
-        mResidence.put(model, true);
-    }
-
-    @Override
-    public void modelLeaves(String engine, long start, String model) {
-        mResidence.put(model, false);
+    public void modelResident(String engine, long start, String model, boolean resident) {
+        mResidence.put(model, resident);
     }
 
     @Override
