--- a/standins/src/main/java/org/foxtailridge/standins/server/Exchange.java
+++ b/standins/src/main/java/org/foxtailridge/standins/server/Exchange.java
@@ -82,6 +82,16 @@
         }
     }
 
+    /** Returns a text of the query. */
+    public Optional<String> query(String name) {
+        return Optional.ofNullable(mQuery.getValue(name));
+    }
+
+    /** Returns path and query as they came. */
+    public String target() {
+        return mRequest.getHttpURI().getPathQuery();
+    }
+
     /** Returns whether a header that carries credentials, or a value shaped like a key, came. */
     public boolean credentialsSeen() {
         for (HttpField field : mRequest.getHeaders()) {
@@ -117,6 +127,15 @@
         }
     }
 
+    /** Answers with raw bytes and status 200. */
+    public void answerBytes(String contentType, byte[] bytes) {
+        if (mEnded.compareAndSet(false, true)) {
+            mResponse.setStatus(200);
+            mResponse.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
+            mResponse.write(true, ByteBuffer.wrap(bytes), mCallback);
+        }
+    }
+
     /** Begins a streamed answer with status 200. */
     public void beginStream(String contentType) {
         mResponse.setStatus(200);
