--- a/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
+++ b/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
@@ -25,9 +25,6 @@
     private static final String SETTINGS_VARIABLE = "FOXTAILRIDGE_NODE_FILE";
     private static final int USAGE_ERROR = 2;
     private static final int CONNECTIONS_PER_ADDRESS = 6;
-    private static final String REHEARSE = "--rehearse";
-    // Long enough for every duty to have ticked.
-    private static final long REHEARSAL_MILLISECONDS = 2_500;
 
     private PlatformNodeMain() {}
 
@@ -35,10 +32,6 @@
     public static void main(String[] arguments) throws InterruptedException {
         PlatformLogging.start();
         try {
-            if (arguments.length == 2 && arguments[0].equals(REHEARSE)) {
-                rehearse(arguments[1]);
-                return;
-            }
             run(ForwardingSettingsFile.read(Path.of(settingsFile(arguments))));
         } catch (FoxtailridgeException refused) {
             System.err.println(refused.getMessage());
@@ -46,24 +39,6 @@
         }
     }
 
-    /** Runs on loopback for a moment, so that the build can keep the classes that a node loads. */
-    private static void rehearse(String file) throws InterruptedException {
-        Thread ending =
-                new Thread(
-                        () -> {
-                            try {
-                                Thread.sleep(REHEARSAL_MILLISECONDS);
-                            } catch (InterruptedException interrupted) {
-                                Thread.currentThread().interrupt();
-                            }
-                            System.exit(0);
-                        },
-                        "rehearsal");
-        ending.setDaemon(true);
-        ending.start();
-        run(ForwardingSettingsFile.read(Path.of(file)));
-    }
-
     private static String settingsFile(String[] arguments) {
         String file = arguments.length > 0 ? arguments[0] : System.getenv(SETTINGS_VARIABLE);
         if (file == null) {
