--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/NodeProcess.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/NodeProcess.java
@@ -8,26 +8,19 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.foxtailridge.core.json.Json;
 
 /** A node that runs as a process of its own. */
 public final class NodeProcess implements AutoCloseable {
-    private static final long EXIT_SECONDS = 40;
-
     private final String mName;
     private final String mDataCentre;
-    private final Process mProcess;
-    private final Path mErrors;
+    private final JavaProcess mProcess;
     private final JsonNode mListening;
 
-    private NodeProcess(
-            String name, String dataCentre, Process process, Path errors, JsonNode listening) {
+    private NodeProcess(String name, String dataCentre, JavaProcess process, JsonNode listening) {
         mName = name;
         mDataCentre = dataCentre;
         mProcess = process;
-        mErrors = errors;
         mListening = listening;
     }
 
@@ -36,31 +29,24 @@
         try {
             Path file = directory.resolve(name + ".toml");
             Files.writeString(file, settings);
-            Path errors = directory.resolve(name + ".log");
-            Process process =
-                    new ProcessBuilder(
-                                    "java",
-                                    "-Xmx160m",
-                                    "-XX:+UseSerialGC",
-                                    "-XX:TieredStopAtLevel=1",
-                                    "-cp",
-                                    System.getProperty("java.class.path"),
-                                    "org.foxtailridge.node.NodeMain",
-                                    "--settings",
-                                    file.toString())
-                            .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()))
-                            .start();
+            JavaProcess process =
+                    JavaProcess.start(
+                            name,
+                            directory.resolve(name + ".log"),
+                            null,
+                            "org.foxtailridge.node.NodeMain",
+                            "--settings",
+                            file.toString());
             BufferedReader output =
                     new BufferedReader(
                             new InputStreamReader(
-                                    process.getInputStream(), StandardCharsets.UTF_8));
+                                    process.process().getInputStream(), StandardCharsets.UTF_8));
             String line = output.readLine();
             if (line == null) {
                 throw new IllegalStateException(
-                        "node " + name + " did not start: " + Files.readString(errors));
+                        "node " + name + " did not start: " + process.log());
             }
-            return new NodeProcess(
-                    name, dataCentre, process, errors, Json.read(line, JsonNode.class));
+            return new NodeProcess(name, dataCentre, process, Json.read(line, JsonNode.class));
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
@@ -93,65 +79,36 @@
 
     /** Returns what the node has logged. */
     public String log() {
-        try {
-            return Files.readString(mErrors);
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
+        return mProcess.log();
     }
 
     /** Ends the process at once, as a VM failure does. */
     public void kill() {
-        mProcess.destroyForcibly();
-        waitForExit();
+        mProcess.kill();
     }
 
     /** Asks the process to stop gracefully; doesn't wait. */
     public void terminate() {
-        mProcess.destroy();
+        mProcess.terminate();
     }
 
     /** Waits until the process has ended. */
     public void waitForExit() {
-        try {
-            if (!mProcess.waitFor(EXIT_SECONDS, TimeUnit.SECONDS)) {
-                throw new IllegalStateException("node " + mName + " did not end");
-            }
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException(interrupted);
-        }
+        mProcess.waitForExit();
     }
 
     /** Stops the process from running until {@link #thaw}, as a long pause does. */
     public void freeze() {
-        signal("-STOP");
+        mProcess.signal("-STOP");
     }
 
     /** Lets a frozen process run on. */
     public void thaw() {
-        signal("-CONT");
+        mProcess.signal("-CONT");
     }
 
     @Override
     public void close() {
-        if (mProcess.isAlive()) {
-            thaw();
-            mProcess.destroyForcibly();
-            waitForExit();
-        }
-    }
-
-    private void signal(String signal) {
-        try {
-            new ProcessBuilder(List.of("kill", signal, Long.toString(mProcess.pid())))
-                    .start()
-                    .waitFor();
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException(interrupted);
-        }
+        mProcess.close();
     }
 }
--- a/execution/src/main/java/org/foxtailridge/execution/retry/FleetRetryBudget.java
+++ b/execution/src/main/java/org/foxtailridge/execution/retry/FleetRetryBudget.java
@@ -25,9 +25,9 @@
     // Retries outlast the requests that allowed them by up to a window, and nodes may be missing.
     private static final double PART_USED = 0.85;
 
-    private final FleetRetrySettings mSettings;
     private final Clock mClock;
     private final Map<String, Usage> mServices = new HashMap<>();
+    private FleetRetrySettings mSettings;
     private int mNodes = 1;
 
     /** Creates a budget that nothing was taken from. */
@@ -41,6 +41,11 @@
         mNodes = Math.max(1, nodes);
     }
 
+    /** Sets the budget from now on; what was taken already counts. */
+    public void use(FleetRetrySettings settings) {
+        mSettings = Objects.requireNonNull(settings, "settings");
+    }
+
     /** Counts a request for a service. */
     public void requested(String service) {
         usage(service).mRequests.addLast(mClock.millis());
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/RequestLog.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/RequestLog.java
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.Timer;
 import java.time.Clock;
 import java.util.Objects;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -25,7 +26,7 @@
     private final Clock mClock;
     private final MeterRegistry mMeters;
     private final LongSupplier mConfigurationVersion;
-    private final int mRequestsPerSecond;
+    private final IntSupplier mRequestsPerSecond;
     private final Counter mLeftOut;
     private final Timer mFirstByte;
     private final Timer mWhole;
@@ -39,17 +40,17 @@
      * @param clock clock of the node
      * @param meters where decisions are counted
      * @param configurationVersion version of the configuration in force
-     * @param requestsPerSecond requests a second whose lines are written
+     * @param requestsPerSecond requests a second whose lines are written, as settings say now
      */
     public RequestLog(
             Clock clock,
             MeterRegistry meters,
             LongSupplier configurationVersion,
-            int requestsPerSecond) {
+            IntSupplier requestsPerSecond) {
         mClock = Objects.requireNonNull(clock, "clock");
         mMeters = Objects.requireNonNull(meters, "meters");
         mConfigurationVersion = Objects.requireNonNull(configurationVersion, "version");
-        mRequestsPerSecond = requestsPerSecond;
+        mRequestsPerSecond = Objects.requireNonNull(requestsPerSecond, "requestsPerSecond");
         mLeftOut = meters.counter("foxtailridge_requests_not_logged");
         mFirstByte = timer("foxtailridge_first_byte");
         mWhole = timer("foxtailridge_answer");
@@ -92,7 +93,7 @@
             mInWindow = 0;
         }
         mInWindow++;
-        boolean written = mInWindow <= mRequestsPerSecond;
+        boolean written = mInWindow <= mRequestsPerSecond.getAsInt();
         if (!written) {
             mLeftOut.increment();
         }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -59,7 +59,6 @@
     // The message to the giver of orders, the order, the load, and the word back.
     private static final double ADAPTER_FETCH_MILLISECONDS = 40;
 
-    private final ForwardingSettings mSettings;
     private final EventLoop mLoop;
     private final Clock mClock;
     private final OutsideWorld mOutside;
@@ -79,6 +78,7 @@
     private final CallerServer mOperators;
     private final PrometheusMeterRegistry mMeters =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private ForwardingSettings mSettings;
     private boolean mStopping;
     private boolean mEntered;
 
@@ -180,6 +180,23 @@
         return stopped;
     }
 
+    /**
+     * Takes settings that were read anew. Requests under way are not touched; what takes effect at
+     * the next start only is said in the log.
+     */
+    public void reload(ForwardingSettings read) {
+        ForwardingSettings next = mSettings.reloaded(read);
+        LogEvent.named("settings_reloaded")
+                .text("changed", !next.equals(mSettings))
+                .text("restart_needed", !next.equals(read))
+                .text("seeds", next.seeds())
+                .number("stop_ms", next.stopTime().toMillis())
+                .writeTo(LOGGER);
+        mSettings = next;
+        mMembers.seeds(next.seeds());
+        mRetries.use(next.retries());
+    }
+
     /** Returns whether new connections are welcome. */
     public boolean isReady() {
         return !mStopping && mStreams.configuration().isPresent() && mEndpoints.hasEndpoints();
@@ -230,7 +247,7 @@
                         mClock,
                         mMeters,
                         () -> configuration().map(ForwardingConfiguration::version).orElse(0L),
-                        mSettings.loggedRequestsPerSecond());
+                        () -> mSettings.loggedRequestsPerSecond());
         ForwarderParts parts =
                 new ForwarderParts(
                         mLoop,
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingSettings.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingSettings.java
@@ -56,4 +56,27 @@
         Objects.requireNonNull(stopTime, "stopTime");
         seeds = List.copyOf(seeds);
     }
+
+    /**
+     * Returns these settings with those parts of others that take effect while a node runs: seeds,
+     * retries, keys, the time to stop and the bound of the log. What a node is and where it listens
+     * stays until it starts again.
+     */
+    public ForwardingSettings reloaded(ForwardingSettings read) {
+        return new ForwardingSettings(
+                name,
+                label,
+                dataCentre,
+                firstStart,
+                callers,
+                readiness,
+                inner,
+                read.seeds,
+                read.retries,
+                limitTolerance,
+                read.cutsWithdrawnKeys,
+                orderPause,
+                read.stopTime,
+                read.loggedRequestsPerSecond);
+    }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
@@ -56,10 +56,15 @@
                         .outbox(this)
                         .build();
         network.receive(Subject.MEMBERSHIP, MembershipMessage.parser(), mMembership::onMessage);
+        seeds(settings.seeds());
+    }
+
+    /** Takes some nodes that may be live, beside those that are known already. */
+    void seeds(List<NodeName> seeds) {
         // Where the seeds are is not known; a probe of them brings their own statements.
-        settings.seeds().stream()
-                .filter(seed -> !seed.equals(settings.name()))
-                .forEach(seed -> mListed.put(seed, settings.dataCentre()));
+        seeds.stream()
+                .filter(seed -> !seed.equals(mSettings.name()))
+                .forEach(seed -> mListed.putIfAbsent(seed, mSettings.dataCentre()));
         tellListed();
     }
 
--- a/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
+++ b/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
@@ -7,9 +7,9 @@
 import java.nio.file.Path;
 import java.time.Clock;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.foxtailridge.core.error.FoxtailridgeException;
-import org.foxtailridge.core.log.LogEvent;
 import org.foxtailridge.core.time.MonotonicClock;
 import org.foxtailridge.forwarding.http.ConnectionSettings;
 import org.foxtailridge.forwarding.http.EndpointConnections;
@@ -25,6 +25,8 @@
     private static final String SETTINGS_VARIABLE = "FOXTAILRIDGE_NODE_FILE";
     private static final int USAGE_ERROR = 2;
     private static final int CONNECTIONS_PER_ADDRESS = 6;
+    // Reading a file of one kilobyte takes some 20 microseconds.
+    private static final long SETTINGS_CHECK_MILLISECONDS = 1_000;
 
     private PlatformNodeMain() {}
 
@@ -32,7 +34,7 @@
     public static void main(String[] arguments) throws InterruptedException {
         PlatformLogging.start();
         try {
-            run(ForwardingSettingsFile.read(Path.of(settingsFile(arguments))));
+            run(Path.of(settingsFile(arguments)));
         } catch (FoxtailridgeException refused) {
             System.err.println(refused.getMessage());
             System.exit(USAGE_ERROR);
@@ -48,7 +50,8 @@
         return file;
     }
 
-    private static void run(ForwardingSettingsFile file) throws InterruptedException {
+    private static void run(Path path) throws InterruptedException {
+        ForwardingSettingsFile file = ForwardingSettingsFile.read(path);
         ForwardingSettings settings = file.settings();
         Clock clock = MonotonicClock.start();
         EventLoop loop =
@@ -65,12 +68,14 @@
         Signal.handle(
                 new Signal("TERM"),
                 signal -> loop.execute(() -> node.stop().thenRun(stopped::countDown)));
-        Signal.handle(
-                new Signal("HUP"),
-                signal ->
-                        LogEvent.named("reload_ignored")
-                                .text("reason", "settings are read at the start only")
-                                .writeTo(LogManager.getLogger(PlatformNodeMain.class)));
+        SettingsWatch watch = SettingsWatch.start(path, node::reload);
+        Signal.handle(new Signal("HUP"), signal -> loop.execute(watch::check));
+        // The file may change without a signal.
+        loop.scheduleWithFixedDelay(
+                watch::check,
+                SETTINGS_CHECK_MILLISECONDS,
+                SETTINGS_CHECK_MILLISECONDS,
+                TimeUnit.MILLISECONDS);
         node.start();
         stopped.await();
         LogManager.shutdown();
