--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.EnumSet;
 import java.util.HashMap;
@@ -53,6 +54,8 @@
     private static final Logger LOGGER = LogManager.getLogger(Forwarder.class);
     private static final long MILLISECONDS_PER_SECOND = 1_000;
     private static final long TIME_UNKNOWN = 0;
+    // Leaves as much for the queue of the endpoints as for the queue of the limit.
+    private static final int TOKENS_SHARE_DIVISOR = 2;
     private static final Set<ErrorKind> WANT_OF_ROOM =
             EnumSet.of(ErrorKind.NO_ENDPOINT, ErrorKind.DEADLINE_UNREACHABLE, ErrorKind.OVERLOADED);
 
@@ -223,9 +226,16 @@
                 .reserve(
                         ClientAccountName.of(terms.accountName()),
                         terms.countedTokens(),
+                        patienceForTokens(terms),
                         admission -> mParts.loop().execute(() -> admit(request, admission)));
     }
 
+    /** Returns for how long a request may wait for tokens: half of what it has for an endpoint. */
+    private Duration patienceForTokens(RequestTerms terms) {
+        long left = terms.startByMilliseconds() - mParts.clock().millis();
+        return Duration.ofMillis(Math.max(0, left / TOKENS_SHARE_DIVISOR));
+    }
+
     void submit(ForwardedRequest request, Set<EndpointName> excluded, boolean begun) {
         RequestTerms terms = request.terms();
         Optional<ForwardingService> service =
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -26,6 +26,7 @@
 import org.foxtailridge.forwarding.http.EndpointConnections;
 import org.foxtailridge.forwarding.stream.KeyedRecord;
 import org.foxtailridge.forwarding.stream.KeyedStream;
+import org.foxtailridge.limits.TokenLimiter;
 import org.foxtailridge.routing.ExpectedTimeRouter;
 import org.foxtailridge.routing.RoutingSettings;
 import org.foxtailridge.routing.queue.QueueSettings;
@@ -144,6 +145,7 @@
         mCallers.listen(mSettings.callers());
         mLoop.execute(this::enter);
         every(TICK_MILLISECONDS, this::tick);
+        every(TokenLimiter.TICK_MILLISECONDS, () -> mLimits.tick(mMembers));
         every(SLOW_TICK_MILLISECONDS, this::slowTick);
     }
 
@@ -300,7 +302,6 @@
     private void slowTick() {
         mMembers.tick();
         mDuties.tick();
-        mLimits.tick(mMembers);
         mEndpoints.tick();
         mCrashes.ledger().tick();
         mRetries.nodes(mMembers.fleetSize());
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
@@ -35,6 +35,8 @@
     // Tokens are asked for when they are needed, so that they are spent as soon as they come.
     private static final long GRANT_MILLISECONDS = 400;
     private static final long LONGEST_WAIT_MILLISECONDS = 250;
+    // After a start of all nodes a home is there within a second.
+    private static final long WAIT_WITHOUT_HOME_MILLISECONDS = 1_000;
     // A client account sends one node a few requests a second: tokens held ahead would lapse.
     private static final long PREFETCH_MILLISECONDS = 0;
 
@@ -58,6 +60,7 @@
                         .longestWaitMilliseconds(LONGEST_WAIT_MILLISECONDS)
                         .prefetchMilliseconds(PREFETCH_MILLISECONDS)
                         .floorFirst(true)
+                        .waitWithoutHomeMilliseconds(WAIT_WITHOUT_HOME_MILLISECONDS)
                         .tolerance(settings.limitTolerance())
                         .build();
         mLimiter =
--- a/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
+++ b/limits/src/main/java/org/foxtailridge/limits/LimiterSettings.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.limits;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import org.foxtailridge.core.name.NodeName;
@@ -32,6 +33,8 @@
  *     node for each request, which wastes nothing while a client account sends a node little
  * @param floorFirst whether a node uses its floor before it asks the home node; otherwise only when
  *     the home node has nothing or can't be reached
+ * @param waitWithoutHomeMilliseconds most time that a reservation waits for this node's floor, or
+ *     for a home node, while none can be reached; 0 refuses at once what the floor does not have
  * @param tolerance by how much the limit may be passed; empty for not at all. The bursts of all
  *     floors come out of it, so that the home node can admit as large a request as without floors
  */
@@ -51,6 +54,7 @@
         long messageLifetimeMilliseconds,
         long prefetchMilliseconds,
         boolean floorFirst,
+        long waitWithoutHomeMilliseconds,
         Optional<LimitTolerance> tolerance) {
     /** Checks the ranges. */
     public LimiterSettings {
@@ -67,6 +71,7 @@
         requireInRange("maximumHolders", maximumHolders, 1, 100_000);
         requireInRange("messageLifetimeMilliseconds", messageLifetimeMilliseconds, 1, 86_400_000);
         requireInRange("prefetchMilliseconds", prefetchMilliseconds, 0, 60_000);
+        requireInRange("waitWithoutHomeMilliseconds", waitWithoutHomeMilliseconds, 0, 60_000);
         Objects.requireNonNull(tolerance, "tolerance");
     }
 
@@ -82,6 +87,11 @@
         }
     }
 
+    /** Returns the most time that a reservation waits for tokens, with or without a home node. */
+    public Duration longestWait() {
+        return Duration.ofMillis(Math.max(longestWaitMilliseconds, waitWithoutHomeMilliseconds));
+    }
+
     /** Builds {@link LimiterSettings}. */
     public static final class Builder {
         private final NodeName mNode;
@@ -99,6 +109,7 @@
         private long mMessageLifetimeMilliseconds = 600_000;
         private long mPrefetchMilliseconds = 1_200;
         private boolean mFloorFirst;
+        private long mWaitWithoutHomeMilliseconds;
         private Optional<LimitTolerance> mTolerance = Optional.empty();
 
         private Builder(NodeName node, long incarnation) {
@@ -184,6 +195,12 @@
             return this;
         }
 
+        /** Sets the most time that a reservation waits while no home node can be reached. */
+        public Builder waitWithoutHomeMilliseconds(long milliseconds) {
+            mWaitWithoutHomeMilliseconds = milliseconds;
+            return this;
+        }
+
         /** Sets by how much the limit may be passed. */
         public Builder tolerance(LimitTolerance tolerance) {
             mTolerance = Optional.of(tolerance);
@@ -208,6 +225,7 @@
                     mMessageLifetimeMilliseconds,
                     mPrefetchMilliseconds,
                     mFloorFirst,
+                    mWaitWithoutHomeMilliseconds,
                     mTolerance);
         }
     }
--- a/limits/src/main/java/org/foxtailridge/limits/TokenLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/TokenLimiter.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.limits;
 
+import java.time.Duration;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.foxtailridge.core.name.ClientAccountName;
@@ -35,6 +36,22 @@
      */
     void reserve(ClientAccountName account, long tokens, Consumer<Admission> decision);
 
+    /**
+     * Sets aside the tokens that a request may use at most, for a caller who waits for a time.
+     *
+     * @param account client account that is charged
+     * @param tokens tokens to set aside; at least 1
+     * @param patience longest time that the request may wait; the settings may allow less
+     * @param decision called exactly once
+     */
+    default void reserve(
+            ClientAccountName account,
+            long tokens,
+            Duration patience,
+            Consumer<Admission> decision) {
+        reserve(account, tokens, decision);
+    }
+
     /**
      * Ends a reservation. A second call for the same reservation has no effect.
      *
--- a/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
@@ -1,8 +1,6 @@
 package org.foxtailridge.limits.grant;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.foxtailridge.core.name.ClientAccountName;
@@ -37,9 +35,9 @@
     private final UnusedBatch mUnused = new UnusedBatch();
     private final UnreportedSpending mUnreported;
     private final DemandMeter mDemand;
-    private final Deque<WaitingReservation> mWaiting = new ArrayDeque<>();
+    private final DemandMeter mGranted;
+    private final TokenQueue mWaiting = new TokenQueue();
     private LimitParts mParts;
-    private long mWaitingTokens;
     private long mDebtTokens;
     private long mPauseMilliseconds = LEAST_PAUSE_MILLISECONDS;
     private boolean mListed = true;
@@ -64,6 +62,7 @@
         mFloor = new Floor(parts, floorFromMilliseconds, nowMilliseconds);
         mLink = new HomeLink(settings, account);
         mDemand = new DemandMeter(nowMilliseconds);
+        mGranted = new DemandMeter(nowMilliseconds);
     }
 
     void change(LimitParts parts, long nowMilliseconds) {
@@ -72,7 +71,11 @@
         mFloor.change(parts, nowMilliseconds);
     }
 
-    void reserve(long tokens, Consumer<Admission> decision, long nowMilliseconds) {
+    void reserve(
+            long tokens,
+            long patienceMilliseconds,
+            Consumer<Admission> decision,
+            long nowMilliseconds) {
         if (!mListed) {
             decision.accept(new Admission.UnknownAccount());
             return;
@@ -87,7 +90,12 @@
         }
         advance(nowMilliseconds);
         mDemand.add(tokens);
-        long deadline = nowMilliseconds + mSettings.longestWaitMilliseconds();
+        if (waitsWithoutHome()) {
+            reserveWithoutHome(tokens, patienceMilliseconds, decision, nowMilliseconds);
+            return;
+        }
+        long longest = Math.min(patienceMilliseconds, mSettings.longestWaitMilliseconds());
+        long deadline = nowMilliseconds + longest;
         if (mSettings.floorFirst() && mWaiting.isEmpty() && grantFromFloor(tokens, decision)) {
             return;
         }
@@ -98,12 +106,53 @@
         } else if (!mLink.isHopeful() || isPausedBeyond(tokens, deadline, nowMilliseconds)) {
             decideFromFloor(tokens, decision, nowMilliseconds);
         } else {
-            mWaiting.addLast(new WaitingReservation(tokens, deadline, decision));
-            mWaitingTokens += tokens;
+            mWaiting.addLast(new WaitingReservation(tokens, deadline, decision), nowMilliseconds);
             askForWaiting(nowMilliseconds);
         }
     }
 
+    private boolean waitsWithoutHome() {
+        return !mLink.isHopeful() && mSettings.waitWithoutHomeMilliseconds() > 0;
+    }
+
+    /** Lets a reservation wait if its tokens are likely to come in time. */
+    private void reserveWithoutHome(
+            long tokens,
+            long patienceMilliseconds,
+            Consumer<Admission> decision,
+            long nowMilliseconds) {
+        boolean isNext = mWaiting.maySkip(tokens);
+        if (isNext && (grantFromFloor(tokens, decision) || grantFromPool(tokens, decision))) {
+            return;
+        }
+        long longest = mSettings.waitWithoutHomeMilliseconds();
+        long allowed = mWaiting.allowedMilliseconds(longest, nowMilliseconds);
+        long expected = mWaiting.expectedMilliseconds(tokens, likelyTokensPerSecond());
+        long most = Math.min(patienceMilliseconds, allowed);
+        if (expected > most) {
+            refuse(expected, decision);
+            return;
+        }
+        WaitingReservation waiting =
+                new WaitingReservation(tokens, nowMilliseconds + most, decision);
+        if (isNext) {
+            mWaiting.addFirst(waiting, nowMilliseconds);
+        } else {
+            mWaiting.addLast(waiting, nowMilliseconds);
+        }
+        askForWaiting(nowMilliseconds);
+    }
+
+    private static void refuse(long expectedMilliseconds, Consumer<Admission> decision) {
+        long pause = Math.min(MOST_PAUSE_MILLISECONDS, expectedMilliseconds);
+        decision.accept(new Admission.Refused(Duration.ofMillis(Math.max(1, pause))));
+    }
+
+    /** Returns what this node is likely to get: what it got of late, or an equal share at least. */
+    private long likelyTokensPerSecond() {
+        return Math.max(mGranted.tokensPerSecond(), mParts.fairTokensPerSecond());
+    }
+
     void settle(
             Reservation reservation,
             OpenReservations.Spent spent,
@@ -148,7 +197,7 @@
         if (answer.getGrantedTokens() > 0) {
             mPauseMilliseconds = LEAST_PAUSE_MILLISECONDS;
             addGrant(answer, nowMilliseconds);
-            boolean ahead = answer.getGrantedTokens() >= mWaitingTokens;
+            boolean ahead = answer.getGrantedTokens() >= mWaiting.tokens();
             if ((ahead || holdsAhead()) && answer.getGrantedTokens() < mLink.wantedTokens()) {
                 mLink.pause(nowMilliseconds + SCARCE_PAUSE_MILLISECONDS, 1);
             }
@@ -171,6 +220,7 @@
     void tick(long nowMilliseconds) {
         advance(nowMilliseconds);
         mDemand.advance(nowMilliseconds);
+        mGranted.advance(nowMilliseconds);
         mLink.giveUp(nowMilliseconds);
         long idleSince = nowMilliseconds - mSettings.grantMilliseconds() / 2;
         collectUnspent(idleSince, target());
@@ -187,7 +237,7 @@
     void remove() {
         mListed = false;
         while (!mWaiting.isEmpty()) {
-            removeFirst().decision().accept(new Admission.UnknownAccount());
+            mWaiting.removeFirst().decision().accept(new Admission.UnknownAccount());
         }
     }
 
@@ -203,6 +253,7 @@
     }
 
     private void grant(long tokens, TokenPool.Origin origin, Consumer<Admission> decision) {
+        mGranted.add(tokens);
         Reservation reservation = mReservations.open(mAccount, tokens, origin, mLink.number());
         if (origin.fencing() == mLink.fencing()) {
             mUnreported.add(reservation.id(), mLink.number());
@@ -230,22 +281,29 @@
     private void serveWaiting(long nowMilliseconds) {
         boolean served = true;
         while (served && !mWaiting.isEmpty()) {
-            WaitingReservation first = mWaiting.getFirst();
+            WaitingReservation first = mWaiting.first();
             served = grantFromPool(first.tokens(), first.decision());
+            if (!served && waitsWithoutHome()) {
+                served = grantFromFloor(first.tokens(), first.decision());
+            }
             if (!served && isHopeless(first, nowMilliseconds)) {
                 decideFromFloor(first.tokens(), first.decision(), nowMilliseconds);
                 served = true;
             }
             if (served) {
-                removeFirst();
+                mWaiting.removeFirst();
             }
         }
         askForWaiting(nowMilliseconds);
     }
 
     private boolean isHopeless(WaitingReservation waiting, long nowMilliseconds) {
+        boolean late = nowMilliseconds >= waiting.deadlineMilliseconds();
+        if (late || waitsWithoutHome()) {
+            // The floor may still have the tokens in time.
+            return late;
+        }
         return !mLink.isHopeful()
-                || nowMilliseconds >= waiting.deadlineMilliseconds()
                 || isPausedBeyond(
                         waiting.tokens(), waiting.deadlineMilliseconds(), nowMilliseconds);
     }
@@ -254,15 +312,9 @@
         return mLink.isPaused(tokens, nowMilliseconds) && mLink.pausedUntil() > deadline;
     }
 
-    private WaitingReservation removeFirst() {
-        WaitingReservation first = mWaiting.removeFirst();
-        mWaitingTokens -= first.tokens();
-        return first;
-    }
-
     private void askForWaiting(long nowMilliseconds) {
         if (!mWaiting.isEmpty()) {
-            long first = mWaiting.getFirst().tokens();
+            long first = mWaiting.first().tokens();
             ask(first, first - mPool.tokens(), wanted(), nowMilliseconds);
         }
     }
@@ -303,7 +355,7 @@
     }
 
     private long wanted() {
-        return mWaitingTokens + target() + mDebtTokens - mPool.tokens();
+        return mWaiting.tokens() + target() + mDebtTokens - mPool.tokens();
     }
 
     private void addGrant(GrantAnswer answer, long nowMilliseconds) {
@@ -320,7 +372,7 @@
     private void pause(long retryAfterMilliseconds, long nowMilliseconds) {
         long pause = Math.max(mPauseMilliseconds, retryAfterMilliseconds);
         boolean any = mWaiting.isEmpty() || holdsAhead();
-        long refusedTokens = any ? 1 : mWaiting.getFirst().tokens();
+        long refusedTokens = any ? 1 : mWaiting.first().tokens();
         mLink.pause(nowMilliseconds + Math.min(MOST_PAUSE_MILLISECONDS, pause), refusedTokens);
         mPauseMilliseconds = Math.min(MOST_PAUSE_MILLISECONDS, 2 * mPauseMilliseconds);
     }
--- a/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/GrantLimiter.java
@@ -1,6 +1,7 @@
 package org.foxtailridge.limits.grant;
 
 import java.time.Clock;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -75,6 +76,16 @@
 
     @Override
     public void reserve(ClientAccountName account, long tokens, Consumer<Admission> decision) {
+        reserve(account, tokens, mSettings.longestWait(), decision);
+    }
+
+    @Override
+    public void reserve(
+            ClientAccountName account,
+            long tokens,
+            Duration patience,
+            Consumer<Admission> decision) {
+        Objects.requireNonNull(patience, "patience");
         if (tokens < 1) {
             throw new IllegalArgumentException("tokens must be at least 1 but was " + tokens);
         }
@@ -83,7 +94,7 @@
             decision.accept(new Admission.UnknownAccount());
             return;
         }
-        limiter.reserve(tokens, decision, now());
+        limiter.reserve(tokens, patience.toMillis(), decision, now());
     }
 
     @Override
--- a/limits/src/main/java/org/foxtailridge/limits/grant/LimitParts.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/LimitParts.java
@@ -15,13 +15,15 @@
  * @param floorCapacityTokens capacity of one node's floor
  * @param floorStartEighths eighths of its floor that a process may use at its start, although the
  *     process before may just have used it
+ * @param fairTokensPerSecond refill of the whole limit divided by the nodes
  */
 record LimitParts(
         long homeMilliTokensPerSecond,
         long homeCapacityTokens,
         long floorMilliTokensPerSecond,
         long floorCapacityTokens,
-        long floorStartEighths) {
+        long floorStartEighths,
+        long fairTokensPerSecond) {
     private static final long TOLERATED_START_EIGHTHS = 2;
     private static final long PERCENT = 100;
     private static final long MILLI = 1_000;
@@ -52,7 +54,8 @@
                         : limit.burstTokens() - floorBurst * nodes;
         long homeCapacity = Math.max(1, homeBurst - earlyTokens(homeRate));
         long start = settings.tolerance().isPresent() ? TOLERATED_START_EIGHTHS : 0;
-        return new LimitParts(homeRate, homeCapacity, floorRate, floorCapacity, start);
+        long fair = rate / MILLI / nodes;
+        return new LimitParts(homeRate, homeCapacity, floorRate, floorCapacity, start, fair);
     }
 
     private static long afterDrift(long milliTokens, LimiterSettings settings) {
--- a/limits/src/test/java/org/foxtailridge/limits/grant/HomeBucketTest.java
+++ b/limits/src/test/java/org/foxtailridge/limits/grant/HomeBucketTest.java
@@ -19,7 +19,7 @@
 class HomeBucketTest {
     private static final NodeName HOLDER = NodeName.of("holder");
     private static final ClientAccountName ACCOUNT = ClientAccountName.of("account");
-    private static final LimitParts PARTS = new LimitParts(100_000, 1_000, 0, 0, 0);
+    private static final LimitParts PARTS = new LimitParts(100_000, 1_000, 0, 0, 0, 100);
     private static final LimiterSettings SETTINGS =
             LimiterSettings.builder(NodeName.of("home"), 1).grantMilliseconds(2_000).build();
 
--- a/limits/src/test/java/org/foxtailridge/limits/grant/LimitsFleet.java
+++ b/limits/src/test/java/org/foxtailridge/limits/grant/LimitsFleet.java
@@ -130,7 +130,11 @@
                         .floorPercent(mFloorPercent)
                         .messageLifetimeMilliseconds(20_000);
         mTolerance.ifPresent(
-                tolerance -> builder.prefetchMilliseconds(0).floorFirst(true).tolerance(tolerance));
+                tolerance ->
+                        builder.prefetchMilliseconds(0)
+                                .floorFirst(true)
+                                .waitWithoutHomeMilliseconds(1_000)
+                                .tolerance(tolerance));
         LimiterSettings settings = builder.build();
         node.mLimiter =
                 new GrantLimiter(settings, mRules, clock, (to, message) -> send(node, to, message));
