--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/CallerAnswer.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/CallerAnswer.java
@@ -1,6 +1,7 @@
 package org.foxtailridge.endtoend.harness;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,11 @@
 public record CallerAnswer(int status, Map<String, List<String>> headers, String body) {
     private static final String DATA = "data: ";
 
+    /** Returns an answer that has come whole. */
+    static CallerAnswer of(HttpResponse<String> response) {
+        return new CallerAnswer(response.statusCode(), response.headers().map(), response.body());
+    }
+
     /** Returns the body as JSON. */
     public JsonNode json() {
         return Json.read(body, JsonNode.class);
--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/CallerClient.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/CallerClient.java
@@ -62,11 +62,6 @@
             request.header("Authorization", "Bearer " + key);
         }
         return mClient.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
-                .thenApply(
-                        response ->
-                                new CallerAnswer(
-                                        response.statusCode(),
-                                        response.headers().map(),
-                                        response.body()));
+                .thenApply(CallerAnswer::of);
     }
 }
--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/PlatformFleet.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/PlatformFleet.java
@@ -236,11 +236,6 @@
 
     private CompletableFuture<CallerAnswer> send(HttpRequest.Builder request) {
         return mClient.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
-                .thenApply(
-                        response ->
-                                new CallerAnswer(
-                                        response.statusCode(),
-                                        response.headers().map(),
-                                        response.body()));
+                .thenApply(CallerAnswer::of);
     }
 }
--- a/standins/src/main/java/org/foxtailridge/standins/engine/EngineStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/engine/EngineStandin.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.CompletableFuture;
 import org.foxtailridge.standins.server.StandinServer;
 import org.foxtailridge.standins.time.EventLoop;
 import org.foxtailridge.standins.time.ThreadEventLoop;
@@ -74,16 +73,12 @@
 
     /** Returns the engine's record of all attempts. */
     public List<EngineExecution> executions() {
-        CompletableFuture<List<EngineExecution>> executions = new CompletableFuture<>();
-        mLoop.execute(() -> executions.complete(mRoutes.executions()));
-        return executions.join();
+        return mLoop.call(mRoutes::executions);
     }
 
     /** Returns the most memory that was ever charged, in bytes. */
     public long peakUsedBytes() {
-        CompletableFuture<Long> peak = new CompletableFuture<>();
-        mLoop.execute(() -> peak.complete(mRoutes.core().peakUsedBytes()));
-        return peak.join();
+        return mLoop.call(() -> mRoutes.core().peakUsedBytes());
     }
 
     @Override
--- a/standins/src/main/java/org/foxtailridge/standins/platform/StoreStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/platform/StoreStandin.java
@@ -7,8 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
 import org.foxtailridge.standins.server.RateBucket;
 import org.foxtailridge.standins.time.EventLoop;
 import org.foxtailridge.standins.time.ThreadEventLoop;
@@ -79,7 +77,7 @@
 
     /** Deletes all records but the newest of each key. */
     public void forgetHistory() {
-        onLoop(
+        mLoop.call(
                 () -> {
                     mState.forgetHistory();
                     return null;
@@ -88,7 +86,7 @@
 
     /** Deals the partitions of all groups out anew, as the platform does at times. */
     public void dealAnew() {
-        onLoop(
+        mLoop.call(
                 () -> {
                     mState.dealAnew();
                     return null;
@@ -97,7 +95,7 @@
 
     /** Returns the number of calls that came through all doors. */
     public long calls() {
-        return onLoop(() -> mDoors.stream().mapToLong(StoreDoor::calls).sum());
+        return mLoop.call(() -> mDoors.stream().mapToLong(StoreDoor::calls).sum());
     }
 
     @Override
@@ -116,7 +114,7 @@
         record[0] = (byte) name.length;
         System.arraycopy(name, 0, record, 1, name.length);
         System.arraycopy(content, 0, record, 1 + name.length, content.length);
-        onLoop(
+        mLoop.call(
                 () -> {
                     mState.partition(topic, 0)
                             .append(
@@ -129,19 +127,6 @@
                 });
     }
 
-    private <T> T onLoop(Supplier<T> task) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        mLoop.execute(
-                () -> {
-                    try {
-                        result.complete(task.get());
-                    } catch (RuntimeException failure) {
-                        result.completeExceptionally(failure);
-                    }
-                });
-        return result.join();
-    }
-
     /** Builds and starts a {@link StoreStandin}. */
     public static final class Builder {
         private EventLoop mLoop;
--- a/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
@@ -11,8 +11,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
 import org.eclipse.jetty.util.Callback;
 import org.foxtailridge.standins.server.Exchange;
 import org.foxtailridge.standins.server.Json;
@@ -69,7 +67,7 @@
                         0,
                         mLoop,
                         exchange -> mLoop.execute(() -> receive(exchange)));
-        onLoop(
+        mLoop.call(
                 () -> {
                     beat();
                     return null;
@@ -110,27 +108,27 @@
 
     /** Returns the requests that it began to run. */
     public List<WorkerExecution> executions() {
-        return onLoop(() -> List.copyOf(mExecutions));
+        return mLoop.call(() -> List.copyOf(mExecutions));
     }
 
     /** Returns the models that it holds now. */
     public Set<String> models() {
-        return onLoop(() -> Set.copyOf(mModels.keySet()));
+        return mLoop.call(() -> Set.copyOf(mModels.keySet()));
     }
 
     /** Returns the most models that it ever held or was loading. */
     public int peakModels() {
-        return onLoop(() -> mPeakModels);
+        return mLoop.call(() -> mPeakModels);
     }
 
     /** Sets what it does wrong from now on. */
     public void setFaults(WorkerFaults faults) {
-        onLoop(() -> mFaults = faults);
+        mLoop.call(() -> mFaults = faults);
     }
 
     /** Says that it leaves; it goes on serving. */
     public void drain() {
-        onLoop(
+        mLoop.call(
                 () -> {
                     mDraining = true;
                     announce();
@@ -140,7 +138,7 @@
 
     /** Takes its entry away; it goes on serving. */
     public void vanish() {
-        onLoop(
+        mLoop.call(
                 () -> {
                     mGone = true;
                     mSettings.mStore.announce(mSettings.mId, "");
@@ -390,12 +388,6 @@
                 mSettings.mId, new String(Json.write(entry), StandardCharsets.UTF_8));
     }
 
-    private <T> T onLoop(Supplier<T> task) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        mLoop.execute(() -> result.complete(task.get()));
-        return result.join();
-    }
-
     /** Builds and starts a {@link WorkerStandin}. */
     public static final class Builder {
         private final String mId;
