Split what a stand-in's worker holds from what it serves; add to the queue of tokens in one way

Change: WorkerResidents keeps models, adapters and orders; TokenQueue has one way to add. Before and after: 74 tests of limits and standins pass; behaviour is the same.

--- a/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/AccountLimiter.java
@@ -106,7 +106,8 @@
         } else if (!mLink.isHopeful() || isPausedBeyond(tokens, deadline, nowMilliseconds)) {
             decideFromFloor(tokens, decision, nowMilliseconds);
         } else {
-            mWaiting.addLast(new WaitingReservation(tokens, deadline, decision), nowMilliseconds);
+            WaitingReservation waiting = new WaitingReservation(tokens, deadline, decision);
+            mWaiting.add(waiting, false, nowMilliseconds);
             askForWaiting(nowMilliseconds);
         }
     }
@@ -130,24 +131,16 @@
         long expected = mWaiting.expectedMilliseconds(tokens, likelyTokensPerSecond());
         long most = Math.min(patienceMilliseconds, allowed);
         if (expected > most) {
-            refuse(expected, decision);
+            long pause = Math.max(1, Math.min(MOST_PAUSE_MILLISECONDS, expected));
+            decision.accept(new Admission.Refused(Duration.ofMillis(pause)));
             return;
         }
         WaitingReservation waiting =
                 new WaitingReservation(tokens, nowMilliseconds + most, decision);
-        if (isNext) {
-            mWaiting.addFirst(waiting, nowMilliseconds);
-        } else {
-            mWaiting.addLast(waiting, nowMilliseconds);
-        }
+        mWaiting.add(waiting, isNext, nowMilliseconds);
         askForWaiting(nowMilliseconds);
     }
 
-    private static void refuse(long expectedMilliseconds, Consumer<Admission> decision) {
-        long pause = Math.min(MOST_PAUSE_MILLISECONDS, expectedMilliseconds);
-        decision.accept(new Admission.Refused(Duration.ofMillis(Math.max(1, pause))));
-    }
-
     /** Returns what this node is likely to get: what it got of late, or an equal share at least. */
     private long likelyTokensPerSecond() {
         return Math.max(mGranted.tokensPerSecond(), mParts.fairTokensPerSecond());
--- a/limits/src/main/java/org/foxtailridge/limits/grant/TokenQueue.java
+++ b/limits/src/main/java/org/foxtailridge/limits/grant/TokenQueue.java
@@ -36,15 +36,15 @@
         return mWaiting.isEmpty() || tokens * SMALL_DIVISOR <= mWaiting.getFirst().tokens();
     }
 
-    void addLast(WaitingReservation reservation, long nowMilliseconds) {
-        noteBusy(nowMilliseconds);
-        mWaiting.addLast(reservation);
-        mTokens += reservation.tokens();
-    }
-
-    void addFirst(WaitingReservation reservation, long nowMilliseconds) {
-        noteBusy(nowMilliseconds);
-        mWaiting.addFirst(reservation);
+    void add(WaitingReservation reservation, boolean first, long nowMilliseconds) {
+        if (mWaiting.isEmpty()) {
+            mBusySinceMilliseconds = nowMilliseconds;
+        }
+        if (first) {
+            mWaiting.addFirst(reservation);
+        } else {
+            mWaiting.addLast(reservation);
+        }
         mTokens += reservation.tokens();
     }
 
@@ -80,10 +80,4 @@
     private static long milliseconds(long tokens, long tokensPerSecond) {
         return tokens * MILLISECONDS_PER_SECOND / Math.max(1, tokensPerSecond);
     }
-
-    private void noteBusy(long nowMilliseconds) {
-        if (mWaiting.isEmpty()) {
-            mBusySinceMilliseconds = nowMilliseconds;
-        }
-    }
 }
--- a/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
@@ -5,12 +5,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
 import org.eclipse.jetty.util.Callback;
 import org.foxtailridge.standins.server.Exchange;
 import org.foxtailridge.standins.server.Json;
@@ -44,14 +41,11 @@
     private final EventLoop mLoop;
     private final StandinServer mServer;
     private final long mBorn;
-    private final TreeMap<String, TreeSet<String>> mModels = new TreeMap<>();
+    private final WorkerResidents mModels;
     private final List<WorkerExecution> mExecutions = new ArrayList<>();
     private WorkerFaults mFaults = WorkerFaults.none();
     private long mEntryNumber;
-    private long mOrders;
     private int mRunning;
-    private int mPeakModels;
-    private boolean mBusy;
     private boolean mDraining;
     private boolean mGone;
 
@@ -59,8 +53,7 @@
         mSettings = settings;
         mLoop = ThreadEventLoop.start("worker-standin " + settings.mId);
         mBorn = mLoop.clock().millis();
-        settings.mModels.forEach(model -> mModels.put(model, new TreeSet<>()));
-        mPeakModels = mModels.size();
+        mModels = new WorkerResidents(mLoop, settings.mLoadTime, settings.mModels);
         mServer =
                 StandinServer.start(
                         "worker-standin-http",
@@ -113,12 +106,12 @@
 
     /** Returns the models that it holds now. */
     public Set<String> models() {
-        return mLoop.call(() -> Set.copyOf(mModels.keySet()));
+        return mLoop.call(mModels::names);
     }
 
     /** Returns the most models that it ever held or was loading. */
     public int peakModels() {
-        return mLoop.call(() -> mPeakModels);
+        return mLoop.call(mModels::peak);
     }
 
     /** Sets what it does wrong from now on. */
@@ -181,7 +174,7 @@
             return;
         }
         Optional<String> model = exchange.header("X-Model");
-        if (model.isPresent() && !holds(model.get())) {
+        if (model.isPresent() && !mModels.holds(model.get())) {
             reject(exchange, 421);
             return;
         }
@@ -289,77 +282,27 @@
                 exchange.credentialsSeen());
     }
 
-    private boolean holds(String model) {
-        int slash = model.indexOf('/');
-        String name = slash < 0 ? model : model.substring(0, slash);
-        Set<String> adapters = mModels.get(name);
-        return adapters != null && (slash < 0 || adapters.contains(model.substring(slash + 1)));
-    }
-
     private void order(Exchange exchange) {
-        WorkerMessages.Order order = exchange.body(WorkerMessages.Order.class);
-        if (order.holder() == null || order.fencing() == null || order.model() == null) {
-            exchange.answer(400, new WorkerMessages.Answer("no holder, fencing or model"));
-            return;
-        }
-        boolean another = order.expect() != null && order.expect() != mOrders;
-        if (another || mBusy) {
-            exchange.answer(409, new WorkerMessages.Answer(another ? "number" : "busy"));
-            return;
-        }
-        boolean loads = Objects.equals(order.op(), "load");
-        String subject =
-                order.adapter() == null ? order.model() : order.model() + '/' + order.adapter();
-        boolean already = holds(subject) == loads;
-        if (!already) {
-            mOrders++;
-            carryOut(order, loads);
-        }
+        int status = mModels.order(exchange.body(WorkerMessages.Order.class), this::announce);
         if (mFaults.lostOrders() > 0) {
             mFaults = mFaults.withLostOrders(mFaults.lostOrders() - 1);
             exchange.cut();
             return;
         }
-        exchange.answer(already ? 200 : 202, new WorkerMessages.Answer("order"));
-    }
-
-    private void carryOut(WorkerMessages.Order order, boolean loads) {
-        if (order.adapter() != null) {
-            Set<String> adapters = mModels.get(order.model());
-            if (adapters != null && loads) {
-                adapters.add(order.adapter());
-            } else if (adapters != null) {
-                adapters.remove(order.adapter());
-            }
-            return;
-        }
-        mBusy = true;
-        int after = mModels.size() + (loads ? 1 : 0);
-        mPeakModels = Math.max(mPeakModels, after);
-        mLoop.after(
-                mSettings.mLoadTime,
-                () -> {
-                    mBusy = false;
-                    if (loads) {
-                        mModels.put(order.model(), new TreeSet<>());
-                    } else {
-                        mModels.remove(order.model());
-                    }
-                    announce();
-                });
+        exchange.answer(status, new WorkerMessages.Answer("order"));
     }
 
     private WorkerMessages.Report report() {
         return new WorkerMessages.Report(
-                "colocated", mBorn, held(), mBusy, mOrders, 0, mRunning, 0, MEMORY_TOKENS);
-    }
-
-    private List<WorkerMessages.Held> held() {
-        List<WorkerMessages.Held> held = new ArrayList<>();
-        for (Map.Entry<String, TreeSet<String>> model : mModels.entrySet()) {
-            held.add(new WorkerMessages.Held(model.getKey(), 1, List.copyOf(model.getValue())));
-        }
-        return held;
+                "colocated",
+                mBorn,
+                mModels.held(),
+                mModels.isBusy(),
+                mModels.orders(),
+                0,
+                mRunning,
+                0,
+                MEMORY_TOKENS);
     }
 
     private void beat() {
@@ -382,7 +325,7 @@
                         mDraining ? "draining" : "ready",
                         0,
                         mBorn,
-                        held(),
+                        mModels.held(),
                         mEntryNumber);
         mSettings.mStore.announce(
                 mSettings.mId, new String(Json.write(entry), StandardCharsets.UTF_8));
