--- a/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
+++ b/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
@@ -25,8 +25,8 @@
     private static final String SETTINGS_VARIABLE = "FOXTAILRIDGE_NODE_FILE";
     private static final int USAGE_ERROR = 2;
     private static final int CONNECTIONS_PER_ADDRESS = 6;
-    // Reading a file of one kilobyte takes some 20 microseconds.
-    private static final long SETTINGS_CHECK_MILLISECONDS = 1_000;
+    // Changes come with a signal mostly, and none of them is urgent.
+    private static final long SETTINGS_CHECK_MILLISECONDS = 10_000;
 
     private PlatformNodeMain() {}
 
