--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -17,6 +18,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * HTTP/1.1 server for callers. Its connections are handled on the given event loop, on which {@link
@@ -24,7 +26,7 @@
  *
  * <pre>{@code
  * CallerServer server = new CallerServer(loop, handler, clock);
- * server.listen(address);
+ * server.listen(address).thenRun(ready);
  * server.stopListening();    // planned stop: no new connections
  * server.closeIdle(Duration.ofMillis(400));   // connections without a request
  * }</pre>
@@ -50,9 +52,13 @@
         mClock = Objects.requireNonNull(clock, "clock");
     }
 
-    /** Binds the address and accepts connections; throws when the address is not available. */
-    public void listen(InetSocketAddress address) {
-        mChannel =
+    /**
+     * Binds the address and accepts connections. May be called on the event loop.
+     *
+     * @return completes once the address is bound; fails when it is not available
+     */
+    public CompletableFuture<Void> listen(InetSocketAddress address) {
+        ChannelFuture bound =
                 new ServerBootstrap()
                         .group(mLoop, mLoop)
                         .channel(NioServerSocketChannel.class)
@@ -66,9 +72,9 @@
                                         accept(channel);
                                     }
                                 })
-                        .bind(address)
-                        .syncUninterruptibly()
-                        .channel();
+                        .bind(address);
+        mChannel = bound.channel();
+        return ChannelFutures.toCompletable(bound);
     }
 
     /** Returns the bound address, with the actual port when port 0 was requested. */
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/DatagramNetwork.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/DatagramNetwork.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -18,12 +19,14 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.name.Names;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.forwarding.endpoint.EndpointAddress;
+import org.foxtailridge.forwarding.http.ChannelFutures;
 import org.foxtailridge.protocol.envelope.Datagram;
 import org.foxtailridge.protocol.envelope.Subject;
 
@@ -37,8 +40,8 @@
  * <pre>{@code
  * DatagramNetwork network = new DatagramNetwork(loop, self, incarnation);
  * network.receive(Subject.LIMITS, LimitsMessage.parser(), (sender, message) -> ...);
- * network.bind(address);
- * network.send(NodeName.of("10.1.0.25:8229"), Subject.LIMITS, message);
+ * network.bind(address)
+ *         .thenRun(() -> network.send(NodeName.of("10.1.0.25:8229"), Subject.LIMITS, message));
  * }</pre>
  */
 public final class DatagramNetwork {
@@ -77,16 +80,20 @@
                 });
     }
 
-    /** Binds the socket and starts to receive; fails when the address is not available. */
-    public void bind(InetSocketAddress address) {
-        mChannel =
+    /**
+     * Binds the socket and starts to receive.
+     *
+     * @return completes once messages can be sent; fails when the address is not available
+     */
+    public CompletableFuture<Void> bind(InetSocketAddress address) {
+        ChannelFuture bound =
                 new Bootstrap()
                         .group(mLoop)
                         .channel(NioDatagramChannel.class)
                         .handler(new Receiver())
-                        .bind(address)
-                        .syncUninterruptibly()
-                        .channel();
+                        .bind(address);
+        mChannel = bound.channel();
+        return ChannelFutures.toCompletable(bound);
     }
 
     /** Sends a message once, without acknowledgement or retry. */
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -37,11 +37,11 @@
  * components, connects them, and runs their periodic work.
  *
  * <p>All components run on one event loop: the VMs have less than one core, and no task runs for
- * long. All methods but {@link #start} are called on it.
+ * long. The constructor and all methods are called on it.
  *
  * <pre>{@code
  * ForwardingNode node = new ForwardingNode(settings, loop, clock, externalSystems);
- * node.start();
+ * node.start().exceptionally(reportFailure);
  * // Completes the requests that were read; then the process may end.
  * loop.execute(() -> node.stop().thenRun(endProcess));
  * }</pre>
@@ -74,6 +74,8 @@
     private final NodeLimits mLimits;
     private final NodePlacement mPlacement;
     private final NodeEndpoints mEndpoints;
+    private final NodeLoads mLoads;
+    private final NodeDigests mDigests;
     private final NodeStreams mStreams;
     private final FleetRetryBudget mRetries;
     private final NodeCrashes mCrashes;
@@ -122,16 +124,9 @@
                         .settings(QueueSettings.builder().maximumPreemptions(0).build())
                         .build();
         mForwarder.setScheduler(mScheduler);
-        mEndpoints =
-                new NodeEndpoints(
-                        clock,
-                        external.announcementDecoder(),
-                        mMembers,
-                        mConnections,
-                        mScheduler,
-                        router);
+        mLoads = new NodeLoads(settings, clock, mMembers, mPlacement::updateDemand);
+        mEndpoints = endpoints(router);
         mEndpoints.addListener(mPlacement);
-        mPlacement.attach(mEndpoints, mForwarder.demand());
         mStreams =
                 new NodeStreams(
                         clock,
@@ -141,6 +136,10 @@
                         mMembers,
                         mNetwork,
                         this);
+        mDigests = digests();
+        mLoads.attach(mDigests, mForwarder.demand());
+        mPlacement.attach(mEndpoints, mDigests);
+        mStreams.attach(mDigests);
         mDuties.addListener(mLimits);
         mDuties.addListener(mPlacement);
         mCallers = new CallerServer(loop, mForwarder, clock);
@@ -149,21 +148,23 @@
         registerGauges();
     }
 
-    /** Opens the ports and starts the periodic work. May be called on any thread. */
-    public void start() {
+    /**
+     * Opens the ports and starts the periodic work.
+     *
+     * @return completes once the ports are open; fails when an address is not available
+     */
+    public CompletableFuture<Void> start() {
         LogEvent.named("node_started")
                 .text("node", mSettings.label())
                 .text("name", mSettings.name())
                 .text("data_centre", mSettings.dataCentre())
                 .text("first_start", mSettings.firstStart())
                 .writeTo(LOGGER);
-        mNetwork.bind(mSettings.inner());
-        mOperators.listen(mSettings.readiness());
-        mCallers.listen(mSettings.callers());
-        mLoop.execute(this::publishOwnRecord);
-        scheduleEvery(TICK_MILLISECONDS, this::tick);
-        scheduleEvery(TokenLimiter.TICK_MILLISECONDS, () -> mLimits.tick(mMembers));
-        scheduleEvery(SLOW_TICK_MILLISECONDS, this::slowTick);
+        return CompletableFuture.allOf(
+                        mNetwork.bind(mSettings.inner()),
+                        mOperators.listen(mSettings.readiness()),
+                        mCallers.listen(mSettings.callers()))
+                .thenRun(this::startPeriodicWork);
     }
 
     /**
@@ -268,6 +269,35 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void startPeriodicWork() {
+        publishOwnRecord();
+        scheduleEvery(TICK_MILLISECONDS, this::tick);
+        scheduleEvery(TokenLimiter.TICK_MILLISECONDS, () -> mLimits.tick(mMembers));
+        scheduleEvery(SLOW_TICK_MILLISECONDS, this::slowTick);
+    }
+
+    private NodeEndpoints endpoints(ExpectedTimeRouter router) {
+        return new NodeEndpoints(
+                mClock,
+                mExternal.announcementDecoder(),
+                mMembers,
+                mConnections,
+                mScheduler,
+                router,
+                mLoads);
+    }
+
+    private NodeDigests digests() {
+        return new NodeDigests(
+                mSettings,
+                mClock,
+                mMembers,
+                mDuties,
+                mNetwork,
+                mStreams::positions,
+                new FleetListener(mPlacement, mDuties, mStreams));
+    }
+
     private Forwarder forwarder(SplittableRandom random) {
         RequestLog log =
                 new RequestLog(
@@ -323,6 +353,7 @@
 
     private void tick() {
         mStreams.tick();
+        mLoads.tick(mEndpoints);
         mPlacement.tick();
     }
 
@@ -363,6 +394,10 @@
         Gauge.builder("foxtailridge_duties_held", mDuties, NodeDuties::heldCount).register(mMeters);
         Gauge.builder("foxtailridge_live_peers", mMembers, members -> members.peers().size())
                 .register(mMeters);
+        Gauge.builder("foxtailridge_loads_age_ms", mDigests, NodeDigests::ageMilliseconds)
+                .register(mMeters);
+        Gauge.builder("foxtailridge_digest_reporters", mDigests, NodeDigests::reporters)
+                .register(mMeters);
         Gauge.builder("foxtailridge_caller_connections", mCallers, CallerServer::connections)
                 .register(mMeters);
         Gauge.builder(
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
@@ -12,6 +12,7 @@
 import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.log.LogEvent;
 import org.foxtailridge.core.name.NodeName;
+import org.foxtailridge.membership.duty.Rendezvous;
 import org.foxtailridge.membership.group.DutyGroup;
 import org.foxtailridge.membership.group.GroupDuties;
 import org.foxtailridge.membership.group.GroupOutbox;
@@ -40,6 +41,11 @@
                     Duration.ofMillis(1_000));
     private static final OptionalLong UNKNOWN_FENCING = OptionalLong.of(0);
     private static final long BROADCAST_INTERVAL_MILLISECONDS = 700;
+    // Enough candidates for the partitions when a data centre is lost; more would only add joins.
+    private static final int MAXIMUM_CANDIDATES = 16;
+    private static final String CANDIDACY = "duty-group";
+    // From this time on a node joins also if it could not read the records of the other nodes.
+    private static final long DISCOVERY_TIMEOUT_MILLISECONDS = 2_000;
     // Only within this time after the fleet's first start may a duty count as never held before.
     private static final long FIRST_START_WINDOW_MILLISECONDS = 8_000;
 
@@ -66,6 +72,7 @@
         mMembers = members;
         mStartedMilliseconds = clock.millis();
         mDuties = new GroupDuties(SETTINGS, clock, this);
+        members.addListener(view -> updateCandidacy(view.dutyNodes()));
         network.receive(Subject.DUTIES, DutiesMessage.parser(), this::receive);
     }
 
@@ -74,9 +81,14 @@
     }
 
     void tick() {
-        mDuties.tick();
         long now = mClock.millis();
-        if (now - mLastBroadcastMilliseconds >= BROADCAST_INTERVAL_MILLISECONDS) {
+        boolean timedOut = now - mStartedMilliseconds >= DISCOVERY_TIMEOUT_MILLISECONDS;
+        if (mMembers.hasReadNodeRecords() || timedOut) {
+            mDuties.tick();
+        }
+        boolean due = now - mLastBroadcastMilliseconds >= BROADCAST_INTERVAL_MILLISECONDS;
+        // In a large fleet digests repeat what is broadcast once.
+        if (due && (mLastBroadcastMilliseconds == 0 || NodeDigests.isDirect(mMembers))) {
             broadcastHeldDuties();
         }
     }
@@ -94,6 +106,23 @@
         return Optional.ofNullable(mHolders.get(partition)).map(Holder::node);
     }
 
+    /** Returns the fencing number of each duty that this node holds, by partition. */
+    Map<Integer, Long> heldFencing() {
+        Map<Integer, Long> held = new HashMap<>();
+        mDuties.heldDuties().forEach(duty -> held.put(duty.partition(), duty.fencing()));
+        return held;
+    }
+
+    /** Records the holder of a duty unless a later one is known. */
+    void onHolder(int partition, NodeName node, long fencing) {
+        Holder known = mHolders.get(partition);
+        if (node.equals(mSettings.name()) || (known != null && known.fencing() >= fencing)) {
+            return;
+        }
+        mHolders.put(partition, new Holder(node, fencing));
+        mListeners.forEach(listener -> listener.heldByPeer(partition, node, fencing));
+    }
+
     int heldCount() {
         return mDuties.heldDuties().size();
     }
@@ -183,17 +212,17 @@
     }
 
     private void receive(NodeName sender, DutiesMessage message) {
-        message.getHeldList().forEach(held -> onStatement(sender, held));
+        message.getHeldList()
+                .forEach(held -> onHolder(held.getPartition(), sender, held.getFencing()));
     }
 
-    private void onStatement(NodeName sender, HeldDutyStatement held) {
-        Holder known = mHolders.get(held.getPartition());
-        if (known != null && known.fencing() >= held.getFencing()) {
-            return;
-        }
-        mHolders.put(held.getPartition(), new Holder(sender, held.getFencing()));
-        mListeners.forEach(
-                listener -> listener.heldByPeer(held.getPartition(), sender, held.getFencing()));
+    /** Keeps the number of members of the group bounded, as each change makes all of them join. */
+    private void updateCandidacy(List<NodeName> nodes) {
+        boolean candidate =
+                nodes.size() <= MAXIMUM_CANDIDATES
+                        || Rendezvous.isAmongFirst(
+                                mSettings.name(), MAXIMUM_CANDIDATES, CANDIDACY, nodes);
+        mDuties.setCandidate(candidate);
     }
 
     private void log(String event, HeldDuty duty) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
@@ -4,8 +4,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
@@ -47,7 +49,6 @@
     // The platform promises that live endpoints announce themselves again within 2 s after the log
     // answers again.
     private static final Duration REANNOUNCEMENT_TIME = Duration.ofSeconds(2);
-    private static final long MAXIMUM_LOAD_REPORT_AGE_MILLISECONDS = 1_500;
     private static final long MAXIMUM_CORRECTION_AGE_MILLISECONDS = 3_000;
     // Share of an endpoint's connections that the known nodes divide; the rest is for nodes that
     // are not known yet and for orders and reports.
@@ -66,7 +67,7 @@
     private final AnnouncedEndpoints mAnnounced;
     private final AdapterResidency mResidency =
             new AdapterResidency(MAXIMUM_CORRECTION_AGE_MILLISECONDS);
-    private final PeerLoads mPeerLoads = new PeerLoads(MAXIMUM_LOAD_REPORT_AGE_MILLISECONDS);
+    private final NodeLoads mLoads;
     private final List<Suspension> mSuspended = new ArrayList<>();
     private final List<EndpointListener> mListeners = new ArrayList<>();
     private Optional<ForwardingConfiguration> mConfiguration = Optional.empty();
@@ -77,12 +78,14 @@
             NodeMembership members,
             EndpointConnections connections,
             RequestScheduler scheduler,
-            Router router) {
+            Router router,
+            NodeLoads loads) {
         mClock = clock;
         mMembers = members;
         mConnections = connections;
         mScheduler = scheduler;
         mRouter = router;
+        mLoads = loads;
         mAnnounced = new AnnouncedEndpoints(decoder, REANNOUNCEMENT_TIME, clock, this);
     }
 
@@ -128,12 +131,23 @@
     }
 
     /** Returns the loads that other nodes report. */
-    PeerLoads peerLoads() {
-        return mPeerLoads;
+    NodeLoads loads() {
+        return mLoads;
     }
 
-    /** Returns the number of attempts that this node has in flight at an endpoint. */
-    int inFlight(EndpointAnnouncement endpoint) {
+    /** Returns the attempts that this node has in flight, for each endpoint that has any. */
+    Map<String, Integer> inFlight() {
+        Map<String, Integer> inFlight = new HashMap<>();
+        for (EndpointAnnouncement endpoint : mAnnounced.all()) {
+            int count = inFlight(endpoint);
+            if (count > 0) {
+                inFlight.put(endpoint.id(), count);
+            }
+        }
+        return inFlight;
+    }
+
+    private int inFlight(EndpointAnnouncement endpoint) {
         return mRouter.inFlight(EndpointName.of(endpoint.id()));
     }
 
@@ -218,7 +232,7 @@
             return;
         }
         long now = mClock.millis();
-        int total = inFlight(endpoint) + mPeerLoads.inFlightAt(endpoint.id(), now);
+        int total = inFlight(endpoint) + mLoads.inFlightOfOthers(endpoint.id());
         int slots = service.get().engines().get().slots();
         int running = Math.min(total, slots);
         // The two zeros are the size of the accelerator memory and the memory in use: not reported.
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
@@ -7,9 +7,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -19,7 +21,6 @@
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.forwarding.stream.KeyedRecord;
 import org.foxtailridge.membership.probe.ListedVm;
-import org.foxtailridge.membership.probe.Member;
 import org.foxtailridge.membership.probe.Membership;
 import org.foxtailridge.membership.probe.MembershipOutbox;
 import org.foxtailridge.membership.probe.MembershipSettings;
@@ -33,11 +34,13 @@
  */
 final class NodeMembership implements MembershipOutbox {
     private static final Logger LOGGER = LogManager.getLogger(NodeMembership.class);
+    private static final int MAXIMUM_LOGGED_NODES = 8;
 
     private final ForwardingSettings mSettings;
     private final DatagramNetwork mNetwork;
     private final Membership mMembership;
     private final Map<NodeName, DataCentreName> mKnownNodes = new HashMap<>();
+    private final List<Consumer<MembershipView>> mListeners = new ArrayList<>();
     private List<NodeName> mPeers = List.of();
     private boolean mNodeRecordsRead;
 
@@ -72,6 +75,11 @@
         passKnownNodes();
     }
 
+    /** Adds a listener for changes of the known nodes. */
+    void addListener(Consumer<MembershipView> listener) {
+        mListeners.add(listener);
+    }
+
     /** Returns whether the records that nodes write of themselves have been read once. */
     boolean hasReadNodeRecords() {
         return mNodeRecordsRead;
@@ -143,14 +151,25 @@
     public void changed(MembershipView view) {
         List<NodeName> peers = new ArrayList<>(view.liveNodes());
         peers.remove(mSettings.name());
+        Set<NodeName> added = new LinkedHashSet<>(peers);
+        mPeers.forEach(added::remove);
+        Set<NodeName> removed = new LinkedHashSet<>(mPeers);
+        peers.forEach(removed::remove);
         mPeers = List.copyOf(peers);
-        for (Member member : view.members()) {
-            LOGGER.debug("member {} has state {}", member.node(), member.state());
+        if (!added.isEmpty() || !removed.isEmpty()) {
+            LogEvent.named("members_changed")
+                    .number("live_peers", mPeers.size())
+                    .text("added", firstOf(added))
+                    .number("added_count", added.size())
+                    .text("removed", firstOf(removed))
+                    .number("removed_count", removed.size())
+                    .writeTo(LOGGER);
         }
-        LogEvent.named("members_changed")
-                .number("live_peers", mPeers.size())
-                .text("peers", mPeers)
-                .writeTo(LOGGER);
+        mListeners.forEach(listener -> listener.accept(view));
+    }
+
+    private static List<NodeName> firstOf(Set<NodeName> nodes) {
+        return nodes.stream().limit(MAXIMUM_LOGGED_NODES).toList();
     }
 
     private void passKnownNodes() {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodePlacement.java
@@ -25,7 +25,6 @@
 import org.foxtailridge.forwarding.engine.EngineControl;
 import org.foxtailridge.forwarding.engine.EngineReport;
 import org.foxtailridge.forwarding.front.AdapterLoader;
-import org.foxtailridge.forwarding.front.ForwardedDemand;
 import org.foxtailridge.forwarding.front.RequestTargets;
 import org.foxtailridge.forwarding.request.WantedModel;
 import org.foxtailridge.membership.group.HeldDuty;
@@ -39,15 +38,12 @@
 import org.foxtailridge.protocol.envelope.Subject;
 import org.foxtailridge.protocol.placement.AdapterResidence;
 import org.foxtailridge.protocol.placement.AdapterWanted;
-import org.foxtailridge.protocol.placement.DemandReport;
-import org.foxtailridge.protocol.placement.EndpointLoad;
-import org.foxtailridge.protocol.placement.ModelDemand;
 import org.foxtailridge.protocol.placement.PlacementMessage;
 
 /**
- * Connects placement to network, duties and engines. Each node broadcasts its demand for models and
- * requests the adapters that its requests need; the holder of the duty of placement orders also
- * sends orders to engines. Confined to the event loop.
+ * Connects placement to network, duties and engines. Each node requests the adapters that its
+ * requests need; the holder of the duty of placement orders also sends orders to engines and tells
+ * all nodes what engines hold. Confined to the event loop.
  */
 final class NodePlacement
         implements AnnouncedPlacementOutbox, AdapterLoader, DutyListener, EndpointListener {
@@ -56,7 +52,9 @@
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
     // Reports are some hundred milliseconds old, so that shorter intervals bring no newer data.
     private static final long REPORT_INTERVAL_MILLISECONDS = 100;
-    private static final long DEMAND_INTERVAL_MILLISECONDS = 300;
+    private static final long RESIDENCE_INTERVAL_MILLISECONDS = 100;
+    // Bounds the memory for requests that the placement never answers.
+    private static final int MAXIMUM_REQUESTERS = 1_024;
 
     private final ForwardingSettings mSettings;
     private final EventLoop mLoop;
@@ -69,9 +67,11 @@
     private final PendingAdapterLoads mPendingLoads;
     private final Set<String> mReportsInFlight = new HashSet<>();
     private final Map<String, Long> mLastReportMilliseconds = new HashMap<>();
+    private final Map<AdapterKey, Set<NodeName>> mRequesters = new LinkedHashMap<>();
+    private final List<AdapterResidence> mUnsentResidences = new ArrayList<>();
     private NodeEndpoints mEndpoints;
-    private ForwardedDemand mDemand;
-    private long mLastDemandMilliseconds;
+    private NodeDigests mDigests;
+    private long mLastResidencesMilliseconds;
 
     NodePlacement(
             ForwardingSettings settings,
@@ -94,9 +94,14 @@
     }
 
     /** Sets the components that are created after this one; called once, before any event. */
-    void attach(NodeEndpoints endpoints, ForwardedDemand demand) {
+    void attach(NodeEndpoints endpoints, NodeDigests digests) {
         mEndpoints = endpoints;
-        mDemand = demand;
+        mDigests = digests;
+    }
+
+    /** Replaces the demand of one node or of one part of the fleet. */
+    void updateDemand(String source, Map<String, Double> underWay) {
+        mPlacement.demand(source, underWay);
     }
 
     void configurationChanged(ForwardingConfiguration configuration) {
@@ -111,9 +116,10 @@
 
     void tick() {
         long now = mClock.millis();
-        if (now - mLastDemandMilliseconds >= DEMAND_INTERVAL_MILLISECONDS) {
-            mLastDemandMilliseconds = now;
-            broadcastDemand();
+        if (now - mLastResidencesMilliseconds >= RESIDENCE_INTERVAL_MILLISECONDS) {
+            mLastResidencesMilliseconds = now;
+            mDigests.sendResidences(mUnsentResidences);
+            mUnsentResidences.clear();
         }
         mPlacement.tick();
     }
@@ -156,7 +162,20 @@
                         .setResident(resident)
                         .build();
         PlacementMessage message = PlacementMessage.newBuilder().setResidence(residence).build();
-        mMembers.sendToPeers(Subject.PLACEMENT, message);
+        if (NodeDigests.isDirect(mMembers)) {
+            mMembers.sendToPeers(Subject.PLACEMENT, message);
+        } else {
+            // The nodes whose requests wait are answered at once, the others with the next batch.
+            AdapterKey key = new AdapterKey(engine, model, adapter);
+            Optional.ofNullable(mRequesters.remove(key))
+                    .ifPresent(
+                            nodes ->
+                                    nodes.forEach(
+                                            node ->
+                                                    mNetwork.send(
+                                                            node, Subject.PLACEMENT, message)));
+            mUnsentResidences.add(residence);
+        }
         applyResidence(residence);
     }
 
@@ -238,7 +257,18 @@
                 PlacementMessage.newBuilder().setWanted(wanted).build());
     }
 
-    private void applyResidence(AdapterResidence residence) {
+    private void onWanted(NodeName sender, AdapterWanted wanted) {
+        AdapterKey key =
+                new AdapterKey(wanted.getEndpoint(), wanted.getModel(), wanted.getAdapter());
+        mRequesters.computeIfAbsent(key, newKey -> new HashSet<>()).add(sender);
+        if (mRequesters.size() > MAXIMUM_REQUESTERS) {
+            mRequesters.remove(mRequesters.keySet().iterator().next());
+        }
+        mPlacement.adapterWanted(wanted.getEndpoint(), wanted.getModel(), wanted.getAdapter());
+    }
+
+    /** Applies a change that the holder of the placement orders announces. */
+    void applyResidence(AdapterResidence residence) {
         mEndpoints.updateResidence(
                 residence.getEndpoint(),
                 residence.getEndpointStart(),
@@ -253,68 +283,13 @@
 
     private void receive(NodeName sender, PlacementMessage message) {
         switch (message.getKindCase()) {
-            case DEMAND -> applyDemand(sender, message.getDemand());
-            case WANTED ->
-                    mPlacement.adapterWanted(
-                            message.getWanted().getEndpoint(),
-                            message.getWanted().getModel(),
-                            message.getWanted().getAdapter());
+            case DEMAND -> mEndpoints.loads().onReport(sender, message.getDemand());
+            case WANTED -> onWanted(sender, message.getWanted());
             case RESIDENCE -> applyResidence(message.getResidence());
             default -> LOGGER.debug("ignored a placement message of {} of unknown kind", sender);
         }
     }
 
-    private void applyDemand(NodeName sender, DemandReport report) {
-        Map<String, Double> underWay = new HashMap<>();
-        for (ModelDemand demand : report.getModelsList()) {
-            underWay.put(demand.getModel(), (double) demand.getRunning());
-        }
-        mPlacement.demand(sender.value(), underWay);
-        Map<String, Integer> inFlight = new HashMap<>();
-        for (EndpointLoad load : report.getEndpointsList()) {
-            inFlight.put(load.getEndpoint(), load.getInFlight());
-        }
-        mEndpoints.peerLoads().put(sender, inFlight, mClock.millis());
-    }
-
-    /** Broadcasts the demand for models and the attempts that this node has in flight. */
-    private void broadcastDemand() {
-        DemandReport.Builder report =
-                DemandReport.newBuilder()
-                        .setNode(mSettings.name().value())
-                        .setDataCentre(mSettings.dataCentre().value());
-        Map<String, Double> underWay = new LinkedHashMap<>();
-        mDemand.collect()
-                .forEach(
-                        (name, demand) -> {
-                            // Requests that started and ended between two reports count as one in
-                            // flight.
-                            double count = Math.max(demand.underWay(), hasArrivals(demand) ? 1 : 0);
-                            underWay.put(name, count);
-                            report.addModels(
-                                    ModelDemand.newBuilder()
-                                            .setModel(name)
-                                            .setRequestsPerSecond(demand.requestsPerSecond())
-                                            .setTokensPerSecond(demand.tokensPerSecond())
-                                            .setRunning((int) Math.ceil(count)));
-                        });
-        for (EndpointAnnouncement endpoint : mEndpoints.all()) {
-            int inFlight = mEndpoints.inFlight(endpoint);
-            if (inFlight > 0) {
-                report.addEndpoints(
-                        EndpointLoad.newBuilder().setEndpoint(endpoint.id()).setInFlight(inFlight));
-            }
-        }
-        mPlacement.demand(mSettings.name().value(), underWay);
-        PlacementMessage message = PlacementMessage.newBuilder().setDemand(report).build();
-        mMembers.sendToPeers(Subject.PLACEMENT, message);
-        mEndpoints.reportLoads();
-    }
-
-    private static boolean hasArrivals(ForwardedDemand.Demand demand) {
-        return demand.requestsPerSecond() > 0;
-    }
-
     private void requestReport(String engine) {
         Optional<EndpointAnnouncement> found = mEndpoints.find(EndpointName.of(engine));
         long now = mClock.millis();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
@@ -1,7 +1,7 @@
 package org.foxtailridge.forwarding.node;
 
 import java.time.Clock;
-import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -15,7 +15,7 @@
 import org.foxtailridge.forwarding.relay.RelayOutbox;
 import org.foxtailridge.forwarding.relay.RelaySettings;
 import org.foxtailridge.forwarding.relay.StreamRelay;
-import org.foxtailridge.forwarding.stream.FollowerTimings;
+import org.foxtailridge.forwarding.stream.KeyedBatch;
 import org.foxtailridge.forwarding.stream.KeyedLog;
 import org.foxtailridge.forwarding.stream.KeyedRecord;
 import org.foxtailridge.forwarding.stream.KeyedStream;
@@ -24,6 +24,7 @@
 import org.foxtailridge.forwarding.stream.StreamSource;
 import org.foxtailridge.protocol.envelope.Subject;
 import org.foxtailridge.protocol.relay.RelayMessage;
+import org.foxtailridge.protocol.relay.StreamPosition;
 
 /**
  * Followers of the platform's keyed streams (configuration, endpoints, nodes), the relay of the
@@ -31,13 +32,6 @@
  */
 final class NodeStreams implements RelayOutbox {
     private static final Logger LOGGER = LogManager.getLogger(NodeStreams.class);
-    // Each with longPollTimeout, readInterval, retryBackoff.
-    private static final FollowerTimings CONFIGURATION_TIMINGS =
-            new FollowerTimings(Duration.ofSeconds(4), Duration.ZERO, Duration.ofMillis(250));
-    private static final FollowerTimings ENDPOINTS_TIMINGS =
-            new FollowerTimings(Duration.ZERO, Duration.ofMillis(500), Duration.ofMillis(250));
-    private static final FollowerTimings NODES_TIMINGS =
-            new FollowerTimings(Duration.ZERO, Duration.ofSeconds(2), Duration.ofSeconds(1));
 
     private final NodeMembership mMembers;
     private final DatagramNetwork mNetwork;
@@ -48,6 +42,8 @@
     private final StreamFollower mNodeRecords;
     private final StreamRelay mRelay;
     private Optional<ForwardingConfiguration> mInForce = Optional.empty();
+    private Optional<NodeDigests> mDigests = Optional.empty();
+    private ReadTimings mTimings = ReadTimings.DIRECT;
     private boolean mLogAvailable = true;
 
     NodeStreams(
@@ -66,21 +62,26 @@
                 new StreamFollower(
                         KeyedStream.CONFIGURATION,
                         log,
-                        CONFIGURATION_TIMINGS,
+                        mTimings.configuration(),
                         clock,
                         new FollowerListener(this::applyConfigurations));
         mEndpoints =
                 new StreamFollower(
                         KeyedStream.ENDPOINTS,
                         log,
-                        ENDPOINTS_TIMINGS,
+                        mTimings.endpoints(),
                         clock,
-                        new FollowerListener((records, source) -> listener.endpointsRead(records)));
+                        new FollowerListener((records, source) -> listener.endpointsRead(records)) {
+                            @Override
+                            public void appended(long fromOffset, KeyedBatch batch) {
+                                sendToReporters(fromOffset, batch);
+                            }
+                        });
         mNodeRecords =
                 new StreamFollower(
                         KeyedStream.NODES,
                         log,
-                        NODES_TIMINGS,
+                        mTimings.nodes(),
                         clock,
                         new FollowerListener(
                                 (records, source) -> mMembers.applyNodeRecords(records)));
@@ -94,7 +95,13 @@
         network.receive(Subject.RELAY, RelayMessage.parser(), mRelay::receive);
     }
 
+    /** Sets the digests, which are created later; called once, before any event. */
+    void attach(NodeDigests digests) {
+        mDigests = Optional.of(digests);
+    }
+
     void tick() {
+        updateTimings();
         mConfigurations.tick();
         mEndpoints.tick();
         mNodeRecords.tick();
@@ -105,6 +112,16 @@
         return mInForce;
     }
 
+    /** Returns how far this node has read the relayed streams. */
+    List<StreamPosition> positions() {
+        return mRelay.positions();
+    }
+
+    /** Handles the positions of the node that reads the log for this one. */
+    void onReaderPositions(NodeName reader, List<StreamPosition> positions) {
+        mRelay.onReaderPositions(reader, positions);
+    }
+
     /**
      * Returns the time since the known configuration was confirmed as current, in milliseconds; -1
      * when it never was.
@@ -136,6 +153,31 @@
             entry.value().ifPresent(value -> decode(entry.key(), value, source));
         }
         mRelay.announce();
+        mRelay.announceTo(otherReporters());
+    }
+
+    /** Chooses between reading the log and being informed, by the role of this node. */
+    private void updateTimings() {
+        ReadTimings timings = ReadTimings.DIRECT;
+        if (!NodeDigests.isDirect(mMembers)) {
+            boolean collector = mDigests.filter(NodeDigests::isCollector).isPresent();
+            timings = collector ? ReadTimings.READER : ReadTimings.RELAYED;
+        }
+        if (timings != mTimings) {
+            mTimings = timings;
+            mConfigurations.use(timings.configuration());
+            mEndpoints.use(timings.endpoints());
+            mNodeRecords.use(timings.nodes());
+            LogEvent.named("log_reading_changed").text("role", timings).writeTo(LOGGER);
+        }
+    }
+
+    private void sendToReporters(long fromOffset, KeyedBatch batch) {
+        mRelay.sendDelta(KeyedStream.ENDPOINTS, fromOffset, batch, otherReporters());
+    }
+
+    private Collection<NodeName> otherReporters() {
+        return mDigests.map(NodeDigests::otherReporters).orElse(List.of());
     }
 
     private void decode(String key, byte[] value, StreamSource source) {
@@ -187,7 +229,7 @@
         void logUnavailable();
     }
 
-    private final class FollowerListener implements StreamListener {
+    private class FollowerListener implements StreamListener {
         private final BiConsumer<List<KeyedRecord>, StreamSource> mChanged;
 
         private FollowerListener(BiConsumer<List<KeyedRecord>, StreamSource> changed) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/relay/RelaySettings.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/relay/RelaySettings.java
@@ -8,6 +8,7 @@
  *
  * @param announceInterval time between two periodic announcements of positions
  * @param announcePeers number of random peers that receive a periodic announcement
+ * @param changePeers number of random peers that receive the announcement of a change
  * @param logReadGracePeriod time in which this node's own read of the log may still return the
  *     records that a peer already has, before they are fetched from peers; only for the
  *     configuration
@@ -20,6 +21,7 @@
 public record RelaySettings(
         Duration announceInterval,
         int announcePeers,
+        int changePeers,
         Duration logReadGracePeriod,
         Duration staleAfter,
         Duration retryInterval,
@@ -41,11 +43,12 @@
      * Returns the defaults, with which an edit reaches a node without the log in well under 2 s.
      */
     public static RelaySettings defaults() {
-        // announceInterval, announcePeers, logReadGracePeriod, staleAfter, retryInterval,
-        // giveUpAfter, partBytes
+        // announceInterval, announcePeers, changePeers, logReadGracePeriod, staleAfter,
+        // retryInterval, giveUpAfter, partBytes
         return new RelaySettings(
                 Duration.ofMillis(400),
                 2,
+                12,
                 Duration.ofMillis(120),
                 Duration.ofMillis(1_500),
                 Duration.ofMillis(80),
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/relay/RelayedState.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/relay/RelayedState.java
@@ -12,6 +12,8 @@
  * offset that a peer announced, and the fetch in flight, if any.
  */
 final class RelayedState {
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final StreamFollower mFollower;
     private final RelayedStream mName;
     private final int mPartBytes;
@@ -20,6 +22,7 @@
     private SnapshotFetch mFetch;
     private long mBehindSinceMilliseconds;
     private long mPeerOffset = -1;
+    private long mRelayedMilliseconds = NEVER;
 
     RelayedState(StreamFollower follower, int partBytes) {
         mFollower = follower;
@@ -73,6 +76,16 @@
         return mBehindSinceMilliseconds;
     }
 
+    /** Records that another node reads this stream for this node. */
+    void setRelayed(long nowMilliseconds) {
+        mRelayedMilliseconds = nowMilliseconds;
+    }
+
+    /** Returns whether another node has informed this one within the maximum age. */
+    boolean isRelayed(long nowMilliseconds, long maximumAgeMilliseconds) {
+        return nowMilliseconds - mRelayedMilliseconds < maximumAgeMilliseconds;
+    }
+
     boolean hasSnapshot() {
         return mFollower.nextOffset() >= 0;
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/relay/StreamRelay.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/relay/StreamRelay.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Clock;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
 import java.util.Objects;
@@ -18,6 +19,7 @@
 import org.foxtailridge.protocol.relay.RelayedStream;
 import org.foxtailridge.protocol.relay.SnapshotPart;
 import org.foxtailridge.protocol.relay.SnapshotWanted;
+import org.foxtailridge.protocol.relay.StreamDelta;
 import org.foxtailridge.protocol.relay.StreamPosition;
 import org.foxtailridge.protocol.relay.StreamPositions;
 
@@ -25,10 +27,10 @@
  * Gossip-based relay of keyed streams: serves snapshots of the followed streams to nodes that are
  * behind, and fetches snapshots from nodes that are ahead.
  *
- * <p>A node announces its offsets to all peers when it has read records of the configuration, and
- * to a few random peers periodically. A node that is behind waits a grace period for its own read
- * of the log, then fetches a snapshot in parts. Streams that change all the time are fetched only
- * when the log has not answered this node for some time. Confined to one thread.
+ * <p>A node announces its offsets to some random peers when it has read records of the
+ * configuration, and to a few periodically. A node that is behind waits a grace period for its own
+ * read of the log, then fetches a snapshot in parts. Streams that change all the time are fetched
+ * only when the log has not answered this node for some time. Confined to one thread.
  *
  * <pre>{@code
  * StreamRelay relay = new StreamRelay(settings, clock, random, outbox, List.of(follower));
@@ -71,9 +73,61 @@
                         .toList();
     }
 
-    /** Announces the offsets of this node to all peers. */
+    /** Announces the offsets of this node to random peers, in a small fleet to all of them. */
     public void announce() {
-        announceTo(mOutbox.peers());
+        announceTo(randomPeers(mSettings.changePeers()));
+    }
+
+    /** Announces the offsets of this node to the given nodes. */
+    public void announceTo(Collection<NodeName> receivers) {
+        Optional<RelayMessage> message = positionsMessage();
+        message.ifPresent(positions -> receivers.forEach(node -> mOutbox.send(node, positions)));
+    }
+
+    /** Returns how far this node has read the relayed streams. */
+    public List<StreamPosition> positions() {
+        return mStates.stream()
+                .filter(RelayedState::hasSnapshot)
+                .map(RelayedState::position)
+                .toList();
+    }
+
+    /**
+     * Sends records that this node has read to nodes that it informs.
+     *
+     * @param stream stream of the records
+     * @param fromOffset offset of the first record
+     * @param batch records that follow
+     * @param receivers nodes that do not read the log themselves
+     */
+    public void sendDelta(
+            KeyedStream stream, long fromOffset, KeyedBatch batch, Collection<NodeName> receivers) {
+        if (receivers.isEmpty()) {
+            return;
+        }
+        RelayedState state = find(RelayedState.nameOf(stream)).orElseThrow();
+        for (StreamDelta delta :
+                StreamDeltas.split(state.position(), fromOffset, batch, mSettings.partBytes())) {
+            RelayMessage message = RelayMessage.newBuilder().setDelta(delta).build();
+            receivers.forEach(receiver -> mOutbox.send(receiver, message));
+        }
+    }
+
+    /**
+     * Handles the positions of the node that reads the log for this one: they confirm the state of
+     * this node, or show that it has missed records, which are then fetched.
+     */
+    public void onReaderPositions(NodeName reader, List<StreamPosition> positions) {
+        long now = mClock.millis();
+        for (StreamPosition position : positions) {
+            find(position.getStream())
+                    .ifPresent(
+                            state -> {
+                                state.setRelayed(now);
+                                confirm(state, position, now);
+                            });
+            onPosition(reader, position, now);
+        }
     }
 
     /** Sends the announcements and requests for parts that are due; cancels stalled fetches. */
@@ -81,9 +135,7 @@
         long now = mClock.millis();
         if (now - mLastAnnouncementMilliseconds >= mSettings.announceInterval().toMillis()) {
             mLastAnnouncementMilliseconds = now;
-            List<NodeName> peers = new ArrayList<>(mOutbox.peers());
-            Collections.shuffle(peers, new java.util.Random(mRandom.nextLong()));
-            announceTo(peers.subList(0, Math.min(peers.size(), mSettings.announcePeers())));
+            announceTo(randomPeers(mSettings.announcePeers()));
         }
         mStates.forEach(state -> advanceFetch(state, now));
     }
@@ -98,20 +150,48 @@
                             .forEach(position -> onPosition(sender, position, now));
             case WANTED -> onRequest(sender, message.getWanted());
             case PART -> onPart(sender, message.getPart(), now);
+            case DELTA -> onDelta(sender, message.getDelta(), now);
             default -> LOGGER.debug("ignored a relay message of {} of unknown kind", sender);
         }
     }
 
-    private void announceTo(List<NodeName> peers) {
-        StreamPositions.Builder positions = StreamPositions.newBuilder();
-        for (RelayedState state : mStates) {
-            if (state.hasSnapshot()) {
-                positions.addPositions(state.position());
-            }
+    private List<NodeName> randomPeers(int maximum) {
+        List<NodeName> peers = new ArrayList<>(mOutbox.peers());
+        Collections.shuffle(peers, new java.util.Random(mRandom.nextLong()));
+        return peers.subList(0, Math.min(peers.size(), maximum));
+    }
+
+    private Optional<RelayMessage> positionsMessage() {
+        List<StreamPosition> positions = positions();
+        if (positions.isEmpty()) {
+            return Optional.empty();
         }
-        if (positions.getPositionsCount() > 0) {
-            RelayMessage message = RelayMessage.newBuilder().setPositions(positions).build();
-            peers.forEach(peer -> mOutbox.send(peer, message));
+        return Optional.of(
+                RelayMessage.newBuilder()
+                        .setPositions(StreamPositions.newBuilder().addAllPositions(positions))
+                        .build());
+    }
+
+    private void onDelta(NodeName sender, StreamDelta delta, long now) {
+        Optional<RelayedState> found = find(delta.getStream());
+        if (found.isEmpty()) {
+            return;
+        }
+        RelayedState state = found.get();
+        long confirmed = now - Math.max(0, delta.getConfirmedAgeMs());
+        boolean continues =
+                state.follower()
+                        .installDelta(
+                                delta.getFromOffset(), StreamDeltas.batchOf(delta), confirmed);
+        if (!continues) {
+            // A delta was lost or overtaken; the fetch waits for the grace period.
+            state.updatePeerOffset(delta.getNextOffset(), now);
+        }
+    }
+
+    private static void confirm(RelayedState state, StreamPosition position, long now) {
+        if (position.getConfirmedAgeMs() >= 0) {
+            state.follower().confirm(position.getNextOffset(), now - position.getConfirmedAgeMs());
         }
     }
 
@@ -134,7 +214,8 @@
         if (!state.hasSnapshot()) {
             return true;
         }
-        if (state.follower().stream() == KeyedStream.CONFIGURATION) {
+        boolean relayed = state.isRelayed(now, mSettings.staleAfter().toMillis());
+        if (relayed || state.follower().stream() == KeyedStream.CONFIGURATION) {
             return now - state.behindSinceMilliseconds()
                     >= mSettings.logReadGracePeriod().toMillis();
         }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamFollower.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamFollower.java
@@ -26,10 +26,10 @@
 
     private final KeyedStream mStream;
     private final KeyedLog mLog;
-    private final FollowerTimings mTimings;
     private final Clock mClock;
     private final StreamListener mListener;
     private final StreamState mState = new StreamState();
+    private FollowerTimings mTimings;
     private long mNextReadMilliseconds;
     private long mConfirmedMilliseconds = NEVER;
     private boolean mReadInFlight;
@@ -53,16 +53,18 @@
     /** Starts a read when the interval or the backoff has passed and none is in flight. */
     public void tick() {
         long now = mClock.millis();
-        if (mReadInFlight || now < mNextReadMilliseconds) {
+        if (mReadInFlight || now < mNextReadMilliseconds || isRelayed()) {
             return;
         }
         mReadInFlight = true;
         boolean fromNewest = mReadNewest;
+        long fromOffset = mState.nextOffset();
         CompletableFuture<KeyedBatch> read =
                 fromNewest
                         ? mLog.newest(mStream)
-                        : mLog.read(mStream, mState.nextOffset(), mTimings.longPollTimeout());
-        read.whenComplete((batch, failure) -> onReadEnded(now, fromNewest, batch, failure));
+                        : mLog.read(mStream, fromOffset, mTimings.longPollTimeout());
+        read.whenComplete(
+                (batch, failure) -> onReadEnded(now, fromNewest, fromOffset, batch, failure));
     }
 
     /**
@@ -81,6 +83,42 @@
         mListener.changed(changed, StreamSource.PEER);
     }
 
+    /**
+     * Applies records that another node has read.
+     *
+     * @param fromOffset offset of the first record
+     * @param delta records that follow
+     * @param confirmedMilliseconds time up to which that node had read all records, in milliseconds
+     *     since the epoch
+     * @return whether the records continue this follower's state
+     */
+    public boolean installDelta(long fromOffset, KeyedBatch delta, long confirmedMilliseconds) {
+        if (fromOffset > mState.nextOffset()) {
+            return false;
+        }
+        List<KeyedRecord> changed = mState.apply(delta);
+        confirm(delta.nextOffset(), confirmedMilliseconds);
+        if (!changed.isEmpty()) {
+            mListener.changed(changed, StreamSource.PEER);
+        }
+        return true;
+    }
+
+    /**
+     * Applies the word of another node that the log ended at an offset; ignored unless this
+     * follower has read up to that offset.
+     */
+    public void confirm(long nextOffset, long confirmedMilliseconds) {
+        if (nextOffset <= mState.nextOffset()) {
+            mConfirmedMilliseconds = Math.max(mConfirmedMilliseconds, confirmedMilliseconds);
+        }
+    }
+
+    /** Replaces the timings, from the next read on. */
+    public void use(FollowerTimings timings) {
+        mTimings = Objects.requireNonNull(timings, "timings");
+    }
+
     public KeyedStream stream() {
         return mStream;
     }
@@ -105,8 +143,18 @@
                 : Math.max(0, mClock.millis() - mConfirmedMilliseconds);
     }
 
+    /** Returns whether another node informs this follower, so that it need not read itself. */
+    private boolean isRelayed() {
+        long age = confirmedAgeMilliseconds();
+        return !mReadNewest && age != NEVER && age < mTimings.relayedAge().toMillis();
+    }
+
     private void onReadEnded(
-            long startedMilliseconds, boolean fromNewest, KeyedBatch batch, Throwable failure) {
+            long startedMilliseconds,
+            boolean fromNewest,
+            long fromOffset,
+            KeyedBatch batch,
+            Throwable failure) {
         mReadInFlight = false;
         if (failure != null) {
             FoxtailridgeException cause = FoxtailridgeException.from(failure);
@@ -121,6 +169,9 @@
         mConfirmedMilliseconds = Math.max(mConfirmedMilliseconds, startedMilliseconds);
         mNextReadMilliseconds = mClock.millis() + mTimings.readInterval().toMillis();
         List<KeyedRecord> changed = fromNewest ? mState.replace(batch) : mState.apply(batch);
+        if (!fromNewest && batch.nextOffset() > fromOffset) {
+            mListener.appended(fromOffset, batch);
+        }
         mListener.confirmed(startedMilliseconds);
         if (!changed.isEmpty()) {
             mListener.changed(changed, StreamSource.LOG);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamListener.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamListener.java
@@ -12,6 +12,14 @@
      */
     void changed(List<KeyedRecord> records, StreamSource source);
 
+    /**
+     * The log returned records that follow the known ones; called before {@link #changed}.
+     *
+     * @param fromOffset offset of the first record
+     * @param batch records that follow, those of the same key included
+     */
+    default void appended(long fromOffset, KeyedBatch batch) {}
+
     /** The log answered: all records written before {@code asOfMilliseconds} are known. */
     void confirmed(long asOfMilliseconds);
 
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/HttpCallsTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/HttpCallsTest.java
@@ -42,7 +42,7 @@
     @BeforeEach
     void listen() {
         CallerServer server = new CallerServer(mLoop, mServer, MonotonicClock.start());
-        server.listen(new InetSocketAddress("127.0.0.1", 0));
+        server.listen(new InetSocketAddress("127.0.0.1", 0)).join();
         mAddress = new EndpointAddress("127.0.0.1", server.address().getPort());
         mConnections =
                 new EndpointConnections(
--- a/membership/src/main/java/org/foxtailridge/membership/group/GroupDuties.java
+++ b/membership/src/main/java/org/foxtailridge/membership/group/GroupDuties.java
@@ -37,6 +37,7 @@
     private long mJoin;
     private boolean mPending;
     private boolean mHasLeft;
+    private boolean mCandidate = true;
     private Instant mSentAt = Instant.MIN;
     private Instant mFirstJoinAt = Instant.MIN;
 
@@ -55,11 +56,29 @@
             mPending = false;
         }
         boolean due = mSentAt.equals(Instant.MIN) || !now.isBefore(nextJoinAt());
-        if (!mHasLeft && !mPending && due) {
+        if (mHasLeft) {
+            return;
+        }
+        if (mPending) {
+            return;
+        }
+        if (!mCandidate && mHeld.isEmpty()) {
+            withdraw();
+        } else if (due) {
             join(now);
         }
     }
 
+    /**
+     * Sets whether this node is a candidate for duties; it is one at first. A node that is none
+     * keeps the duties that it holds, and leaves the group once it holds none.
+     *
+     * @param candidate whether the node joins the group
+     */
+    public void setCandidate(boolean candidate) {
+        mCandidate = candidate;
+    }
+
     /** Applies the assignment that answers a join; ignores the answer to an earlier join. */
     public void onJoined(long join, GroupAssignment answer) {
         if (join != mJoin || !mPending || mHasLeft) {
@@ -116,13 +135,24 @@
         return mGeneration;
     }
 
+    /** Leaves the group if it was joined; the node may join again later. */
+    private void withdraw() {
+        if (mSentAt.equals(Instant.MIN)) {
+            return;
+        }
+        mSentAt = Instant.MIN;
+        mGeneration = 0;
+        mFirstJoinAt = Instant.MIN;
+        mOutbox.leaveGroup();
+    }
+
     private Instant nextJoinAt() {
         return mSentAt.plus(mSettings.joinInterval());
     }
 
     private void join(Instant now) {
         mJoin++;
-        mFirstJoinAt = mJoin == 1 ? now : mFirstJoinAt;
+        mFirstJoinAt = mFirstJoinAt.equals(Instant.MIN) ? now : mFirstJoinAt;
         mPending = true;
         mSentAt = now;
         mOutbox.join(mJoin, mGeneration);
--- a/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
+++ b/node/src/main/java/org/foxtailridge/node/PlatformNodeMain.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.foxtailridge.core.error.FoxtailridgeException;
 import org.foxtailridge.core.time.MonotonicClock;
+import org.foxtailridge.forwarding.endpoint.EndpointAddress;
 import org.foxtailridge.forwarding.http.ConnectionSettings;
 import org.foxtailridge.forwarding.http.EndpointConnections;
 import org.foxtailridge.forwarding.http.HttpCalls;
@@ -24,6 +25,7 @@
 public final class PlatformNodeMain {
     private static final String SETTINGS_VARIABLE = "FOXTAILRIDGE_NODE_FILE";
     private static final int USAGE_ERROR = 2;
+    private static final int START_FAILED = 1;
     private static final int CONNECTIONS_PER_ADDRESS = 6;
     // Changes come with a signal mostly, and none of them is urgent.
     private static final long SETTINGS_CHECK_MILLISECONDS = 10_000;
@@ -53,18 +55,39 @@
     private static void run(Path path) throws InterruptedException {
         ForwardingSettingsFile file = ForwardingSettingsFile.read(path);
         ForwardingSettings settings = file.settings();
+        EndpointAddress store = file.storeAddress();
         Clock clock = MonotonicClock.start();
         EventLoop loop =
                 new MultiThreadIoEventLoopGroup(
                                 1, new DefaultThreadFactory("node"), NioIoHandler.newFactory())
                         .next();
+        CountDownLatch stopped = new CountDownLatch(1);
+        // The node is created on its event loop, so that one thread alone loads classes and reads
+        // files and sockets: starts with reads on two threads have crashed in native code.
+        loop.submit(() -> startNode(path, settings, store, loop, clock, stopped))
+                .addListener(
+                        submitted -> {
+                            if (!submitted.isSuccess()) {
+                                endAfterFailedStart(submitted.cause());
+                            }
+                        });
+        stopped.await();
+        LogManager.shutdown();
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void startNode(
+            Path path,
+            ForwardingSettings settings,
+            EndpointAddress store,
+            EventLoop loop,
+            Clock clock,
+            CountDownLatch stopped) {
         EndpointConnections connections =
                 new EndpointConnections(loop, ConnectionSettings.defaults(), clock);
         HttpCalls calls = new HttpCalls(loop, connections, CONNECTIONS_PER_ADDRESS);
         ForwardingNode node =
-                new ForwardingNode(
-                        settings, loop, clock, new PlatformAdapter(calls, file.storeAddress()));
-        CountDownLatch stopped = new CountDownLatch(1);
+                new ForwardingNode(settings, loop, clock, new PlatformAdapter(calls, store));
         Signal.handle(
                 new Signal("TERM"),
                 signal -> loop.execute(() -> node.stop().thenRun(stopped::countDown)));
@@ -76,9 +99,18 @@
                 SETTINGS_CHECK_MILLISECONDS,
                 SETTINGS_CHECK_MILLISECONDS,
                 TimeUnit.MILLISECONDS);
-        node.start();
-        stopped.await();
+        node.start()
+                .exceptionally(
+                        failure -> {
+                            endAfterFailedStart(failure);
+                            return null;
+                        });
+    }
+
+    private static void endAfterFailedStart(Throwable failure) {
+        // Not a static logger, as the log is set up after this class is initialized.
+        LogManager.getLogger(PlatformNodeMain.class).error("the node could not start", failure);
         LogManager.shutdown();
-        Runtime.getRuntime().halt(0);
+        Runtime.getRuntime().halt(START_FAILED);
     }
 }
--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Decides which model is to be loaded next where, and what makes room for it.
@@ -45,7 +44,9 @@
     private final StoreLoads mStore;
     private final long mHolderSinceMilliseconds;
     private final long mNow;
-    private final Set<String> mDataCentres;
+    private final CopyIndex mIndex;
+    // Engines that may be given an order; those that this plan uses are removed.
+    private final List<EngineState> mFree = new ArrayList<>();
     private final Set<EngineState> mUsed = new HashSet<>();
     private final Map<String, Integer> mPlanned = new HashMap<>();
 
@@ -68,11 +69,7 @@
         mStore = store;
         mHolderSinceMilliseconds = holderSinceMilliseconds;
         mNow = now;
-        mDataCentres =
-                mEngines.stream()
-                        .filter(EngineState::isUsable)
-                        .map(engine -> engine.view().dataCentre())
-                        .collect(Collectors.toSet());
+        mIndex = new CopyIndex(mEngines, pool);
     }
 
     /** Returns the steps to take now, one for each engine at most. */
@@ -84,12 +81,16 @@
         }
         wants.sort(Comparator.comparingDouble(Want::urgency).reversed());
         List<CopyStep> steps = new ArrayList<>(repeats());
+        mEngines.stream()
+                .filter(engine -> engine.isUsable() && engine.isIdle() && !engine.isDoubtful())
+                .filter(engine -> !mUsed.contains(engine))
+                .forEach(mFree::add);
         for (Want want : wants) {
             step(want)
                     .ifPresent(
                             step -> {
                                 steps.add(step);
-                                mUsed.add(step.engine());
+                                mFree.remove(step.engine());
                                 mPlanned.merge(step.model(), step.load() ? 1 : -1, Integer::sum);
                             });
         }
@@ -132,15 +133,14 @@
             return false;
         }
         // An engine that has restarted since then may hold something else by now.
-        boolean fits = engine.chargedMegabytes(mPool) <= mPool.megabytes();
+        boolean fits = mIndex.chargedMegabytes(engine) <= mPool.megabytes();
         return fits && mayLoad(engine, model.get());
     }
 
     private Optional<Want> want(ModelSize model) {
         String name = model.name();
         double demand = mDemands.of(name);
-        int coming = (int) mEngines.stream().filter(engine -> engine.isLoading(name)).count();
-        int copies = copies(name) + coming;
+        int copies = copies(name) + mIndex.loading(name);
         if (copies > 0) {
             mMissingSince.remove(name);
         }
@@ -166,8 +166,7 @@
 
     /** Returns the copies that serve, less those that this plan takes away. */
     private int copies(String model) {
-        int serving = (int) mEngines.stream().filter(engine -> engine.serves(model)).count();
-        return serving + Math.min(0, mPlanned.getOrDefault(model, 0));
+        return mIndex.serving(model) + Math.min(0, mPlanned.getOrDefault(model, 0));
     }
 
     /** Returns the copies that a model is to have. */
@@ -180,18 +179,19 @@
         boolean popular = !mDemands.isKnown() && copies(model) > 1;
         int least = active || popular ? 2 : 1;
         if (demand >= mSettings.crowdedRequests()) {
-            least = Math.max(least, mDataCentres.size());
+            least = Math.max(least, mIndex.usableDataCentres());
         }
-        long usable = mEngines.stream().filter(EngineState::isUsable).count();
-        return (int) Math.min(usable, Math.max(least, byLoad));
+        return Math.min(mIndex.usableEngines(), Math.max(least, byLoad));
     }
 
     private Optional<CopyStep> step(Want want) {
         RoomBeingMade room = mRoom.get(want.model().name());
+        Set<String> takenEngines = enginesWithRoomForOthers(want.model().name());
         List<Place> places = new ArrayList<>();
-        for (EngineState engine : mEngines) {
+        for (EngineState engine : mFree) {
             boolean elsewhere = room != null && !room.engine().equals(engine.name());
-            if (!elsewhere && isEligible(engine, want.model())) {
+            boolean taken = takenEngines.contains(engine.name());
+            if (!elsewhere && !taken && isEligible(engine, want.model())) {
                 place(engine, want).ifPresent(places::add);
             }
         }
@@ -201,13 +201,7 @@
     }
 
     private boolean isEligible(EngineState engine, ModelSize model) {
-        return engine.isUsable()
-                && !mUsed.contains(engine)
-                && engine.isIdle()
-                && !engine.isDoubtful()
-                && !engine.holds(model.name())
-                && isFreeFor(engine, model.name())
-                && fitsBesideLateOrder(engine, model);
+        return !engine.holds(model.name()) && fitsBesideLateOrder(engine, model);
     }
 
     /**
@@ -218,22 +212,24 @@
         boolean mayCome =
                 engine.hasRestartedSince(
                         mNow - mSettings.lateOrderLife().toMillis(), mHolderSinceMilliseconds);
-        double largest = mPool.models().stream().mapToDouble(ModelSize::megabytes).max().orElse(0);
-        double charged = engine.chargedMegabytes(mPool) + model.megabytes();
-        return !mayCome || charged + largest <= mPool.megabytes();
+        double charged = mIndex.chargedMegabytes(engine) + model.megabytes();
+        return !mayCome || charged + mPool.largestMegabytes() <= mPool.megabytes();
     }
 
-    /** Returns whether no other model has room made for it on the engine. */
-    private boolean isFreeFor(EngineState engine, String model) {
-        return mRoom.entrySet().stream()
-                .noneMatch(
-                        room ->
-                                room.getValue().engine().equals(engine.name())
-                                        && !room.getKey().equals(model));
+    /** Returns the engines on which room is being made for other models. */
+    private Set<String> enginesWithRoomForOthers(String model) {
+        Set<String> engines = new HashSet<>();
+        mRoom.forEach(
+                (other, room) -> {
+                    if (!other.equals(model)) {
+                        engines.add(room.engine());
+                    }
+                });
+        return engines;
     }
 
     private Optional<Place> place(EngineState engine, Want want) {
-        double free = mPool.megabytes() - engine.chargedMegabytes(mPool);
+        double free = mPool.megabytes() - mIndex.chargedMegabytes(engine);
         double missing = want.model().megabytes() - free;
         List<String> victims = new ArrayList<>();
         double lost = 0;
@@ -297,11 +293,7 @@
 
     /** Returns what a further copy in a data centre is worth less than a first one there. */
     private double crowding(EngineState engine, String model) {
-        String dataCentre = engine.view().dataCentre();
-        boolean held =
-                mEngines.stream()
-                        .filter(other -> other.view().dataCentre().equals(dataCentre))
-                        .anyMatch(other -> other.serves(model) || other.isLoading(model));
+        boolean held = mIndex.isHeldIn(engine.view().dataCentre(), model);
         return held ? SAME_DATA_CENTRE : 0;
     }
 
