One timer for the periodic work of a node

Nodes of a large fleet that give no orders wake 20 times now; small fleets run all tasks from the 20 ms timer.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -49,6 +49,8 @@
 public final class ForwardingNode implements NodeStreams.Listener {
     private static final Logger LOGGER = LogManager.getLogger(ForwardingNode.class);
     private static final long TICK_MILLISECONDS = 20;
+    // Interval of a node in a large fleet that gives no orders to engines.
+    private static final long IDLE_TICK_MILLISECONDS = 50;
     private static final long SLOW_TICK_MILLISECONDS = 100;
     // The platform takes a node out of rotation after two failed readiness probes, 1 s apart.
     private static final long ROTATION_EXIT_MILLISECONDS = 2_300;
@@ -271,9 +273,19 @@
 
     private void startPeriodicWork() {
         publishOwnRecord();
-        scheduleEvery(TICK_MILLISECONDS, this::tick);
-        scheduleEvery(TokenLimiter.TICK_MILLISECONDS, () -> mLimits.tick(mMembers));
-        scheduleEvery(SLOW_TICK_MILLISECONDS, this::slowTick);
+        PeriodicTasks tasks = new PeriodicTasks(mLoop, mClock, this::wakeUpMilliseconds);
+        tasks.add(TICK_MILLISECONDS, mStreams::tick);
+        tasks.add(TICK_MILLISECONDS, () -> mLoads.tick(mEndpoints));
+        tasks.add(TICK_MILLISECONDS, mPlacement::tick);
+        tasks.add(TokenLimiter.TICK_MILLISECONDS, () -> mLimits.tick(mMembers));
+        tasks.add(SLOW_TICK_MILLISECONDS, this::slowTick);
+        tasks.start();
+    }
+
+    /** Returns the time until the next wake-up; a wake-up costs as much as the work of one tick. */
+    private long wakeUpMilliseconds() {
+        boolean frequent = NodeDigests.isDirect(mMembers) || mDuties.holds(DutyPartitions.ORDERS);
+        return frequent ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS;
     }
 
     private NodeEndpoints endpoints(ExpectedTimeRouter router) {
@@ -351,12 +363,6 @@
                         });
     }
 
-    private void tick() {
-        mStreams.tick();
-        mLoads.tick(mEndpoints);
-        mPlacement.tick();
-    }
-
     private void slowTick() {
         mMembers.tick();
         mDuties.tick();
@@ -369,21 +375,6 @@
         mConnections.tick();
     }
 
-    private void scheduleEvery(long milliseconds, Runnable task) {
-        mLoop.scheduleWithFixedDelay(
-                () -> {
-                    try {
-                        task.run();
-                    } catch (RuntimeException defect) {
-                        LOGGER.error(
-                                "a periodic task failed; it runs again after its interval", defect);
-                    }
-                },
-                milliseconds,
-                milliseconds,
-                TimeUnit.MILLISECONDS);
-    }
-
     private void registerGauges() {
         Gauge.builder("foxtailridge_configuration_age_ms", mStreams, NodeStreams::configurationAge)
                 .register(mMeters);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
@@ -106,6 +106,11 @@
         return Optional.ofNullable(mHolders.get(partition)).map(Holder::node);
     }
 
+    /** Returns whether this node holds a duty now. */
+    boolean holds(int partition) {
+        return mDuties.held(partition).isPresent();
+    }
+
     /** Returns the fencing number of each duty that this node holds, by partition. */
     Map<Integer, Long> heldFencing() {
         Map<Integer, Long> held = new HashMap<>();
