Do not handle requests whose caller left while the event loop was busy

Cause: a read of a connection stopped after a short read, so that a request was handled before the end of its connection was seen. Connections of callers are now read to the end, and a request is handled after the end of its connection.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
@@ -47,6 +47,7 @@
     // Arrival of the first byte of a head that is not complete; 0 when there is none.
     private long mHeadStartMilliseconds;
     private boolean mClosing;
+    private boolean mReading;
 
     CallerConnection(
             Channel channel,
@@ -110,7 +111,9 @@
             }
             return;
         }
+        mReading = true;
         process(object);
+        mReading = false;
     }
 
     @Override
@@ -204,8 +207,20 @@
         if (last) {
             IncomingRequest request = mIncoming;
             mIncoming = null;
-            mExchange = new ChannelExchange(this, mChannel, request, mHandler);
-            mHandler.handle(mExchange);
+            ChannelExchange exchange = new ChannelExchange(this, mChannel, request, mHandler);
+            mExchange = exchange;
+            if (mReading) {
+                // Runs after the end of the connection, if the caller has left meanwhile.
+                mChannel.eventLoop().execute(() -> handle(exchange));
+            } else {
+                handle(exchange);
+            }
+        }
+    }
+
+    private void handle(ChannelExchange exchange) {
+        if (mExchange == exchange && mChannel.isActive()) {
+            mHandler.handle(exchange);
         }
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
@@ -1,11 +1,13 @@
 package org.foxtailridge.forwarding.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -35,6 +37,8 @@
     private static final int ACCEPT_BACKLOG = 1_024;
     private static final int MAXIMUM_LINE_BYTES = 16_384;
     private static final int MAXIMUM_CHUNK_BYTES = 65_536;
+    // The network library's default for connections that it configures itself.
+    private static final int READS_PER_EVENT = 16;
     // Bounds the memory for the answer to a caller that does not read: 256 KiB.
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(64 * 1024, 256 * 1024);
@@ -64,6 +68,7 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, readsToTheEnd())
                         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
@@ -111,6 +116,17 @@
         return (int) mConnections.stream().filter(CallerConnection::isBusy).count();
     }
 
+    /**
+     * Returns an allocator with which a read continues until nothing is left, so that the end of a
+     * connection is seen with the last request on it. When the event loop was busy for a while, the
+     * callers of some requests have left already.
+     */
+    private static RecvByteBufAllocator readsToTheEnd() {
+        return new AdaptiveRecvByteBufAllocator()
+                .respectMaybeMoreData(false)
+                .maxMessagesPerRead(READS_PER_EVENT);
+    }
+
     private void accept(SocketChannel channel) {
         CallerConnection connection =
                 new CallerConnection(channel, mHandler, mClock, mConnections::remove);
