A node that is no candidate stops joining the duty group instead of leaving it

A leave that the store executes late could take duties away that the node has acquired as a candidate again, while it still acts on them. Read from the code; the random runs of GroupDutiesTest now change candidacy too.

--- a/membership/src/main/java/org/foxtailridge/membership/group/GroupDuties.java
+++ b/membership/src/main/java/org/foxtailridge/membership/group/GroupDuties.java
@@ -71,7 +71,7 @@
 
     /**
      * Sets whether this node is a candidate for duties; it is one at first. A node that is none
-     * keeps the duties that it holds, and leaves the group once it holds none.
+     * keeps the duties that it holds, and joins no more once it holds none.
      *
      * @param candidate whether the node joins the group
      */
@@ -135,15 +135,14 @@
         return mGeneration;
     }
 
-    /** Leaves the group if it was joined; the node may join again later. */
+    /**
+     * Stops joining, so that the group removes this node after one lifetime. It does not leave: a
+     * leave that the log executes late could take duties away that the node has acquired since.
+     */
     private void withdraw() {
-        if (mSentAt.equals(Instant.MIN)) {
-            return;
-        }
         mSentAt = Instant.MIN;
         mGeneration = 0;
         mFirstJoinAt = Instant.MIN;
-        mOutbox.leaveGroup();
     }
 
     private Instant nextJoinAt() {
--- a/membership/src/test/java/org/foxtailridge/membership/group/GroupDutiesTest.java
+++ b/membership/src/test/java/org/foxtailridge/membership/group/GroupDutiesTest.java
@@ -121,6 +121,50 @@
         assertThat(second.mDuties.held(0).orElseThrow().fencing()).isGreaterThan(before);
     }
 
+    @Test
+    void should_acquire_nothing_while_it_is_not_a_candidate() {
+        // GIVEN
+        Member candidate = member("a");
+        Member other = member("b");
+        other.mDuties.setCandidate(false);
+
+        // WHEN
+        run(3_000);
+
+        // THEN
+        assertThat(other.mDuties.heldDuties()).isEmpty();
+        assertThat(candidate.mDuties.heldDuties()).hasSize(PARTITIONS);
+    }
+
+    @Test
+    void should_keep_its_duties_when_it_is_no_longer_a_candidate() {
+        // GIVEN
+        Member former = member("a");
+        run(1_500);
+
+        // WHEN
+        former.mDuties.setCandidate(false);
+        run(10_000);
+
+        // THEN
+        assertThat(former.mDuties.heldDuties()).hasSize(PARTITIONS);
+    }
+
+    @Test
+    void should_acquire_duties_again_when_it_becomes_a_candidate_again() {
+        // GIVEN
+        Member member = member("a");
+        member.mDuties.setCandidate(false);
+        run(3_000);
+
+        // WHEN
+        member.mDuties.setCandidate(true);
+        run(1_500);
+
+        // THEN
+        assertThat(member.mDuties.heldDuties()).hasSize(PARTITIONS);
+    }
+
     @Test
     void should_reject_times_that_let_the_membership_expire_between_two_joins() {
         assertThatThrownBy(
@@ -163,6 +207,7 @@
             case 1 -> member.mAnswersLost = !member.mAnswersLost;
             case 2 -> member.mPaused = !member.mPaused;
             case 3 -> group.reassign();
+            case 4 -> member.mDuties.setCandidate(random.nextBoolean());
             default -> {}
         }
     }
