--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeDuties.java
@@ -82,8 +82,9 @@
 
     void tick() {
         long now = mClock.millis();
-        boolean timedOut = now - mStartedMilliseconds >= DISCOVERY_TIMEOUT_MILLISECONDS;
-        if (mMembers.hasReadNodeRecords() || timedOut) {
+        // At the first start of a fleet the records of the other nodes are still being written.
+        boolean discovered = mMembers.hasReadNodeRecords() && !mSettings.firstStart();
+        if (discovered || now - mStartedMilliseconds >= DISCOVERY_TIMEOUT_MILLISECONDS) {
             mDuties.tick();
         }
         boolean due = now - mLastBroadcastMilliseconds >= BROADCAST_INTERVAL_MILLISECONDS;
