--- a/forwarding/src/main/java/org/foxtailridge/forwarding/endpoint/AnnouncedEndpoints.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/endpoint/AnnouncedEndpoints.java
@@ -74,6 +74,7 @@
                 put(entry.key(), entry.value().get());
             }
         }
+        mListener.batchApplied();
     }
 
     /** Records that a read of the log has failed or timed out on this node. */
@@ -91,6 +92,7 @@
             mExpiredSince.remove(key);
             remove(key);
         }
+        mListener.batchApplied();
     }
 
     /** Returns the announcement of an endpoint; empty if it is not announced. */
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/endpoint/EndpointListener.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/endpoint/EndpointListener.java
@@ -14,4 +14,7 @@
 
     /** Called when an endpoint is no longer announced. */
     void gone(EndpointAnnouncement former);
+
+    /** All changes of one batch of records, or of one tick, have been passed on. */
+    default void batchApplied() {}
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeEndpoints.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -53,6 +54,8 @@
     // Share of an endpoint's connections that the known nodes divide; the rest is for nodes that
     // are not known yet and for orders and reports.
     private static final double CONNECTION_SHARE = 0.8;
+    // A node that starts reads the announcements of all endpoints in one batch.
+    private static final int MAXIMUM_LOGGED_ANNOUNCEMENTS = 64;
     // Also the limit for a service that is not configured.
     private static final int MINIMUM_CONNECTIONS = 4;
     private static final String UNKNOWN_VERSION = "";
@@ -70,6 +73,8 @@
     private final NodeLoads mLoads;
     private final List<Suspension> mSuspended = new ArrayList<>();
     private final List<EndpointListener> mListeners = new ArrayList<>();
+    private final Map<EndpointName, EndpointState> mChangedStates = new LinkedHashMap<>();
+    private boolean mEndpointsGone;
     private Optional<ForwardingConfiguration> mConfiguration = Optional.empty();
 
     NodeEndpoints(
@@ -171,24 +176,51 @@
                         || !former.get().address().equals(current.address())
                         || former.get().startMilliseconds() != current.startMilliseconds();
         if (affectsScheduler) {
-            LogEvent.named("endpoint_announced")
-                    .text("endpoint", current.id())
-                    .text("service", current.service())
-                    .text("address", current.address())
-                    .text("draining", current.draining())
-                    .number("start", current.startMilliseconds())
-                    .number("entry", current.sequenceNumber())
-                    .text("models", current.models())
-                    .writeTo(LOGGER);
-            configureScheduler();
-            mScheduler.endpointChanged(
+            if (mChangedStates.size() < MAXIMUM_LOGGED_ANNOUNCEMENTS) {
+                log(current);
+            }
+            mChangedStates.put(
                     EndpointName.of(current.id()),
                     current.draining() ? EndpointState.LEAVING : EndpointState.UP);
+        } else {
+            reportLoad(current);
         }
-        reportLoad(current);
         mListeners.forEach(listener -> listener.announced(former, current));
     }
 
+    /**
+     * Tells the scheduler of the changes of a batch at once: it takes the whole list of endpoints,
+     * so that telling it of each one takes a time that grows with the square of their number.
+     */
+    @Override
+    public void batchApplied() {
+        if (mChangedStates.isEmpty() && !mEndpointsGone) {
+            return;
+        }
+        if (mChangedStates.size() > MAXIMUM_LOGGED_ANNOUNCEMENTS) {
+            LogEvent.named("endpoints_announced")
+                    .number("changed", mChangedStates.size())
+                    .number("known", mAnnounced.all().size())
+                    .writeTo(LOGGER);
+        }
+        configureScheduler();
+        mChangedStates.forEach(mScheduler::endpointChanged);
+        mChangedStates.clear();
+        mEndpointsGone = false;
+    }
+
+    private static void log(EndpointAnnouncement current) {
+        LogEvent.named("endpoint_announced")
+                .text("endpoint", current.id())
+                .text("service", current.service())
+                .text("address", current.address())
+                .text("draining", current.draining())
+                .number("start", current.startMilliseconds())
+                .number("entry", current.sequenceNumber())
+                .text("models", current.models())
+                .writeTo(LOGGER);
+    }
+
     @Override
     public void gone(EndpointAnnouncement former) {
         LogEvent.named("endpoint_gone")
@@ -196,7 +228,8 @@
                 .text("service", former.service())
                 .writeTo(LOGGER);
         mResidency.forget(former.id());
-        configureScheduler();
+        mChangedStates.remove(EndpointName.of(former.id()));
+        mEndpointsGone = true;
         mConnections.closeIdle(former.address());
         mListeners.forEach(listener -> listener.gone(former));
     }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/endpoint/AnnouncedEndpointsTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/endpoint/AnnouncedEndpointsTest.java
@@ -12,6 +12,8 @@
 import org.foxtailridge.core.time.ManualClock;
 import org.foxtailridge.forwarding.stream.KeyedRecord;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against removing live endpoints whose announcements expired during an outage of the log,
@@ -20,6 +22,7 @@
 class AnnouncedEndpointsTest {
     private final ManualClock mClock = ManualClock.at(Instant.ofEpochSecond(100));
     private final List<String> mEvents = new ArrayList<>();
+    private int mBatches;
     private final AnnouncedEndpoints mEndpoints =
             new AnnouncedEndpoints(
                     AnnouncedEndpointsTest::decode,
@@ -37,6 +40,11 @@
                         public void gone(EndpointAnnouncement former) {
                             mEvents.add("gone " + former.id());
                         }
+
+                        @Override
+                        public void batchApplied() {
+                            mBatches++;
+                        }
                     });
 
     @Test
@@ -124,6 +132,42 @@
         assertThat(mEndpoints.all()).extracting(EndpointAnnouncement::id).containsExactly("a");
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 100, 1_000})
+    void should_end_a_batch_once_however_many_endpoints_it_announces(int count) {
+        // GIVEN
+        List<KeyedRecord> records = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            records.add(
+                    KeyedRecord.of(
+                            "endpoint-" + number, "1 1 ready".getBytes(StandardCharsets.UTF_8)));
+        }
+
+        // WHEN
+        mEndpoints.apply(records);
+
+        // THEN
+        assertThat(mEvents).hasSize(count);
+        assertThat(mBatches).isEqualTo(1);
+    }
+
+    @Test
+    void should_end_a_batch_when_an_endpoint_does_not_return_after_a_log_outage() {
+        // GIVEN
+        write("a", "1 1 ready");
+        mEndpoints.logUnavailable();
+        mEndpoints.apply(List.of(KeyedRecord.tombstone("a")));
+        int batches = mBatches;
+
+        // WHEN
+        mClock.advance(Duration.ofSeconds(3));
+        mEndpoints.tick();
+
+        // THEN
+        assertThat(mEvents).contains("gone a");
+        assertThat(mBatches).isEqualTo(batches + 1);
+    }
+
     /** Applies a record with the start of the process, the sequence number and the state. */
     private void write(String id, String text) {
         mEndpoints.apply(List.of(KeyedRecord.of(id, text.getBytes(StandardCharsets.UTF_8))));
