Plan of copies: no victims where none are needed, load of a copy once a plan

Victims were sorted for each pair of a wanted model and an engine even where the model fits, and loads of copies were worked out at each comparison. Ruled out: orders differ (AnnouncedPlacementTest, CrowdedModelTest, UnansweredOrderTest pass unchanged).

--- a/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
+++ b/placement/src/main/java/org/foxtailridge/placement/announced/CopyPlanner.java
@@ -49,6 +49,8 @@
     private final List<EngineState> mFree = new ArrayList<>();
     private final Set<EngineState> mUsed = new HashSet<>();
     private final Map<String, Integer> mPlanned = new HashMap<>();
+    // Loads of one copy by model; valid until the plan changes the number of copies.
+    private final Map<String, Double> mLoadPerCopy = new HashMap<>();
 
     CopyPlanner(
             AnnouncedPlacementSettings settings,
@@ -92,6 +94,7 @@
                                 steps.add(step);
                                 mFree.remove(step.engine());
                                 mPlanned.merge(step.model(), step.load() ? 1 : -1, Integer::sum);
+                                mLoadPerCopy.remove(step.model());
                             });
         }
         return steps;
@@ -233,7 +236,7 @@
         double missing = want.model().megabytes() - free;
         List<String> victims = new ArrayList<>();
         double lost = 0;
-        for (String victim : victims(engine, want)) {
+        for (String victim : missing > 0 ? victims(engine, want) : List.<String>of()) {
             if (missing <= 0) {
                 break;
             }
@@ -255,10 +258,16 @@
 
     /** Returns the models that may make room, those first that are missed least. */
     private List<String> victims(EngineState engine, Want want) {
-        return engine.models().stream()
-                .filter(model -> mayGo(model, want))
-                .sorted(Comparator.comparingDouble(this::loss))
-                .toList();
+        List<String> victims = new ArrayList<>();
+        for (String model : engine.models()) {
+            if (mayGo(model, want)) {
+                victims.add(model);
+            }
+        }
+        if (victims.size() > 1) {
+            victims.sort(Comparator.comparingDouble(this::loss));
+        }
+        return victims;
     }
 
     private boolean mayGo(String model, Want want) {
@@ -288,7 +297,8 @@
     }
 
     private double loadPerCopy(String model) {
-        return mDemands.of(model) / Math.max(1, copies(model));
+        return mLoadPerCopy.computeIfAbsent(
+                model, name -> mDemands.of(name) / Math.max(1, copies(name)));
     }
 
     /** Returns what a further copy in a data centre is worth less than a first one there. */
