Split floors over 64 nodes again until the nodes are known

Cause, by reading LimitSplit: with 2,048 nodes the floors of a limit round to zero, and a home that starts before it knows the nodes takes the whole rate, while the other nodes spend their floors: up to 160% for the 2 s between the first join and the time from which known nodes count as the fleet. The former value is back; larger fleets stay open.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeLimits.java
@@ -30,7 +30,7 @@
 final class NodeLimits implements DutyListener {
     private static final Logger LOGGER = LogManager.getLogger(NodeLimits.class);
     // Assumed number of nodes until the nodes of the fleet are known.
-    private static final int MAXIMUM_NODES = 2_048;
+    private static final int MAXIMUM_NODES = 64;
     // Guaranteed local share, with which a data centre that is cut off continues; the rest moves to
     // the nodes that need it.
     private static final int FLOOR_PERCENT = 60;
