Poll the log while it fails instead of waiting for reads that it has lost

Cause: a node learns of edits by one read that the store holds open for up to 4 s, and notices its loss only at its timeout of 4.8 s, more than twice the bound. A store that falls silent loses the reads that it holds, and those that are sent meanwhile; a read that was lost just before the store came back delayed the next edit by up to 4.8 s. All nodes read in phase, as each edit ends the reads of all of them, so that no peer had the edit to relay either. The class: a held request whose timeout exceeds the bound is the only sign of life, and it is in phase on all replicas.

Change: after a failed read, a follower polls until the log answers again. When a read of any other stream fails (each 0.5 s, 0.8 s timeout), the held read is cancelled and replaced by a poll. Cancelling a call closes its connection, so that replaced reads do not occupy the pool.

Ruled out: the relay (no node had the edit), decoding (all nodes within 26 ms of the end of the lost reads), a slow store (it acknowledged the edit at 22.979 s).

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/HttpCalls.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/HttpCalls.java
@@ -19,8 +19,9 @@
 import org.foxtailridge.forwarding.request.AttemptFailure;
 
 /**
- * HTTP client for calls with short bodies, each with a timeout. A call that times out closes its
- * connection. Methods are called on the event loop, where the futures also complete.
+ * HTTP client for calls with short bodies, each with a timeout. A call that times out or is
+ * cancelled closes its connection. Methods are called on the event loop, where the futures also
+ * complete.
  *
  * <pre>{@code
  * calls.call(address, HttpMethod.GET, "/report", new byte[0], Duration.ofMillis(500))
@@ -77,6 +78,7 @@
         Call call = new Call(address, request.uri());
         call.mExchange = mConnections.start(address, mConnectionsPerAddress, true, request, call);
         call.mTimer = mLoop.schedule(call::timeOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        call.mFuture.whenComplete((answer, failure) -> call.closeIfCancelled());
         return call.mFuture;
     }
 
@@ -131,6 +133,13 @@
                     new CallFailedException(mAddress, mTarget, failure, reason));
         }
 
+        private void closeIfCancelled() {
+            if (mFuture.isCancelled()) {
+                mTimer.cancel(false);
+                mExchange.cancel();
+            }
+        }
+
         private void timeOut() {
             if (!mFuture.isDone()) {
                 boolean sent = mExchange.hasBegun();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
@@ -249,6 +249,7 @@
         @Override
         public void failed(Throwable failure) {
             updateLogAvailability(false, failure.getMessage());
+            mConfigurations.logFailed();
             mListener.logUnavailable();
         }
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/stream/KeyedLog.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/stream/KeyedLog.java
@@ -5,7 +5,7 @@
 
 /**
  * Client of a log that stores keyed streams. Futures complete on the node's event loop, and fail
- * when the log does not answer.
+ * when the log does not answer. Cancelling the future of a read closes its connection.
  */
 public interface KeyedLog {
     /**
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamFollower.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamFollower.java
@@ -1,9 +1,11 @@
 package org.foxtailridge.forwarding.stream;
 
 import java.time.Clock;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailridge.core.error.FoxtailridgeException;
 
@@ -12,8 +14,9 @@
  *
  * <p>It starts with the newest record of each key, then reads the records that follow. When the log
  * has deleted these, it starts again with the newest records. A snapshot of another node replaces
- * its state when the snapshot covers more of the stream. The offset never decreases. Confined to
- * one thread; at most one read is in flight.
+ * its state when the snapshot covers more of the stream. The offset never decreases. While the log
+ * fails, it polls the log instead of letting it hold reads open. Confined to one thread; at most
+ * one read is in flight.
  *
  * <pre>{@code
  * StreamFollower follower = new StreamFollower(stream, log, timings, clock, listener);
@@ -32,9 +35,12 @@
     private FollowerTimings mTimings;
     private long mNextReadMilliseconds;
     private long mConfirmedMilliseconds = NEVER;
-    private boolean mReadInFlight;
+    private Optional<ReadInFlight> mReadInFlight = Optional.empty();
     // Whether the next read asks for the newest record of each key, not for those that follow.
     private boolean mReadNewest = true;
+    // Whether the last read failed. A read that is held open shows only at its timeout that the
+    // log is silent, so the log is polled until it answers again.
+    private boolean mLogFailed;
 
     /** Creates a follower; it reads from the first {@link #tick} on. */
     public StreamFollower(
@@ -53,18 +59,24 @@
     /** Starts a read when the interval or the backoff has passed and none is in flight. */
     public void tick() {
         long now = mClock.millis();
-        if (mReadInFlight || now < mNextReadMilliseconds || isRelayed()) {
+        if (mReadInFlight.isEmpty() && now >= mNextReadMilliseconds && !isRelayed()) {
+            startRead(now);
+        }
+    }
+
+    /**
+     * Handles the failure of a read of another stream of the same log: a read that the log holds
+     * open may be lost as well, so it is replaced by one that the log answers at once.
+     */
+    public void logFailed() {
+        if (mReadInFlight.isEmpty() || mReadInFlight.get().longPollTimeout().isZero()) {
             return;
         }
-        mReadInFlight = true;
-        boolean fromNewest = mReadNewest;
-        long fromOffset = mState.nextOffset();
-        CompletableFuture<KeyedBatch> read =
-                fromNewest
-                        ? mLog.newest(mStream)
-                        : mLog.read(mStream, fromOffset, mTimings.longPollTimeout());
-        read.whenComplete(
-                (batch, failure) -> onReadEnded(now, fromNewest, fromOffset, batch, failure));
+        CompletableFuture<KeyedBatch> lost = mReadInFlight.get().answer();
+        mReadInFlight = Optional.empty();
+        lost.cancel(false);
+        mLogFailed = true;
+        startRead(mClock.millis());
     }
 
     /**
@@ -149,13 +161,23 @@
         return !mReadNewest && age != NEVER && age < mTimings.relayedAge().toMillis();
     }
 
-    private void onReadEnded(
-            long startedMilliseconds,
-            boolean fromNewest,
-            long fromOffset,
-            KeyedBatch batch,
-            Throwable failure) {
-        mReadInFlight = false;
+    private void startRead(long now) {
+        long fromOffset = mState.nextOffset();
+        boolean poll = mReadNewest || mLogFailed;
+        Duration timeout = poll ? Duration.ZERO : mTimings.longPollTimeout();
+        CompletableFuture<KeyedBatch> answer =
+                mReadNewest ? mLog.newest(mStream) : mLog.read(mStream, fromOffset, timeout);
+        ReadInFlight read = new ReadInFlight(answer, mReadNewest, fromOffset, timeout, now);
+        mReadInFlight = Optional.of(read);
+        answer.whenComplete((batch, failure) -> onReadEnded(read, batch, failure));
+    }
+
+    private void onReadEnded(ReadInFlight read, KeyedBatch batch, Throwable failure) {
+        if (mReadInFlight.filter(current -> current == read).isEmpty()) {
+            return;
+        }
+        mReadInFlight = Optional.empty();
+        mLogFailed = failure != null;
         if (failure != null) {
             FoxtailridgeException cause = FoxtailridgeException.from(failure);
             mReadNewest |= cause instanceof RecordsDeletedException;
@@ -166,15 +188,31 @@
             return;
         }
         mReadNewest = false;
-        mConfirmedMilliseconds = Math.max(mConfirmedMilliseconds, startedMilliseconds);
+        mConfirmedMilliseconds = Math.max(mConfirmedMilliseconds, read.startedMilliseconds());
         mNextReadMilliseconds = mClock.millis() + mTimings.readInterval().toMillis();
-        List<KeyedRecord> changed = fromNewest ? mState.replace(batch) : mState.apply(batch);
-        if (!fromNewest && batch.nextOffset() > fromOffset) {
-            mListener.appended(fromOffset, batch);
+        List<KeyedRecord> changed = read.fromNewest() ? mState.replace(batch) : mState.apply(batch);
+        if (!read.fromNewest() && batch.nextOffset() > read.fromOffset()) {
+            mListener.appended(read.fromOffset(), batch);
         }
-        mListener.confirmed(startedMilliseconds);
+        mListener.confirmed(read.startedMilliseconds());
         if (!changed.isEmpty()) {
             mListener.changed(changed, StreamSource.LOG);
         }
     }
+
+    /**
+     * A read without an answer yet.
+     *
+     * @param answer completes with the records
+     * @param fromNewest whether it asks for the newest record of each key
+     * @param fromOffset offset of the first record that it asks for
+     * @param longPollTimeout time for which the log may hold it open
+     * @param startedMilliseconds when it was sent, in milliseconds since the epoch
+     */
+    private record ReadInFlight(
+            CompletableFuture<KeyedBatch> answer,
+            boolean fromNewest,
+            long fromOffset,
+            Duration longPollTimeout,
+            long startedMilliseconds) {}
 }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/HttpCallsTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/HttpCallsTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.time.MonotonicClock;
 import org.foxtailridge.forwarding.configuration.CallerLimits;
@@ -95,6 +96,27 @@
                 .hasMessageContaining("no answer in time");
     }
 
+    @Test
+    void should_close_the_connection_of_a_cancelled_call() {
+        // GIVEN a call without an answer
+        mServer.mSilent = true;
+        CompletableFuture<HttpAnswer> silent = new CompletableFuture<>();
+        mLoop.submit(
+                        () -> {
+                            CompletableFuture<HttpAnswer> answer =
+                                    mCalls.call(mAddress, HttpMethod.GET, "/", new byte[0], LONG);
+                            silent.whenComplete((unused, failure) -> answer.cancel(false));
+                        })
+                .syncUninterruptibly();
+        Awaitility.await().until(() -> mServer.mHandled == 1);
+
+        // WHEN
+        mLoop.submit(() -> silent.cancel(false)).syncUninterruptibly();
+
+        // THEN
+        Awaitility.await().until(() -> mServer.mLeft == 1);
+    }
+
     private CompletableFuture<HttpAnswer> call(String target) {
         return start(target, LONG);
     }
@@ -108,11 +130,15 @@
 
     private static final class Server implements CallerHandler {
         private String mKeepAlive = "timeout=60";
-        private boolean mSilent;
+        private volatile boolean mSilent;
+        private volatile int mHandled;
+        private volatile int mLeft;
 
         @Override
         public void handle(CallerExchange exchange) {
+            mHandled++;
             if (mSilent) {
+                exchange.setListener(new LeaveCounter());
                 return;
             }
             HttpHeaders headers = new DefaultHttpHeaders().set("Keep-Alive", mKeepAlive);
@@ -136,5 +162,15 @@
         public void refused(ErrorKind kind, String reason) {
             throw new IllegalStateException(reason);
         }
+
+        private final class LeaveCounter implements CallerListener {
+            @Override
+            public void disconnected() {
+                mLeft++;
+            }
+
+            @Override
+            public void writabilityChanged(boolean writable) {}
+        }
     }
 }
