Close the idle connections to an address when a call to it times out

Cause: a call that timed out closed its own connection only. The next one took an idle connection from the pool, silent as well, and waited for its timeout again: with four idle connections to the store up to four times 0.8 s, beyond the 2 s in which an edit has to be in force.

Change: a timeout also closes the idle connections to the same address, so that the next call opens a new one. The pool of callers' requests is another one and stays as it is.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/HttpCalls.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/HttpCalls.java
@@ -20,8 +20,8 @@
 
 /**
  * HTTP client for calls with short bodies, each with a timeout. A call that times out or is
- * cancelled closes its connection. Methods are called on the event loop, where the futures also
- * complete.
+ * cancelled closes its connection; one that times out also closes the idle connections to its
+ * address. Methods are called on the event loop, where the futures also complete.
  *
  * <pre>{@code
  * calls.call(address, HttpMethod.GET, "/report", new byte[0], Duration.ofMillis(500))
@@ -82,7 +82,7 @@
         return call.mFuture;
     }
 
-    private static final class Call implements ExchangeListener {
+    private final class Call implements ExchangeListener {
         private final EndpointAddress mAddress;
         private final String mTarget;
         private final CompletableFuture<HttpAnswer> mFuture = new CompletableFuture<>();
@@ -144,6 +144,8 @@
             if (!mFuture.isDone()) {
                 boolean sent = mExchange.hasBegun();
                 mExchange.cancel();
+                // Connections can go silent together without a reset; new ones may work.
+                mConnections.closeIdle(mAddress);
                 failed(sent ? AttemptFailure.SILENT : AttemptFailure.NOT_SENT, "no answer in time");
             }
         }
