--- a/forwarding/src/main/java/org/foxtailridge/forwarding/relay/RelayedState.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/relay/RelayedState.java
@@ -1,6 +1,8 @@
 package org.foxtailridge.forwarding.relay;
 
 import com.google.protobuf.ByteString;
+import java.util.Optional;
+import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.forwarding.stream.KeyedStream;
 import org.foxtailridge.forwarding.stream.StreamFollower;
 import org.foxtailridge.protocol.relay.RelayedStream;
@@ -9,7 +11,7 @@
 
 /**
  * State of one relayed stream: its follower, the snapshot as parts for other nodes, the highest
- * offset that a peer announced, and the fetch in flight, if any.
+ * offset that a peer announced with that peer, and the fetch in flight, if any.
  */
 final class RelayedState {
     private static final long NEVER = Long.MIN_VALUE / 2;
@@ -22,6 +24,7 @@
     private SnapshotFetch mFetch;
     private long mBehindSinceMilliseconds;
     private long mPeerOffset = -1;
+    private Optional<NodeName> mPeerAhead = Optional.empty();
     private long mRelayedMilliseconds = NEVER;
 
     RelayedState(StreamFollower follower, int partBytes) {
@@ -57,11 +60,24 @@
     }
 
     /** Records the offset up to which a peer has read. */
-    void updatePeerOffset(long nextOffset, long nowMilliseconds) {
+    void updatePeerOffset(NodeName peer, long nextOffset, long nowMilliseconds) {
         if (!isBehind()) {
             mBehindSinceMilliseconds = nowMilliseconds;
         }
-        mPeerOffset = Math.max(mPeerOffset, nextOffset);
+        if (nextOffset >= mPeerOffset) {
+            mPeerOffset = nextOffset;
+            mPeerAhead = Optional.of(peer);
+        }
+    }
+
+    /** Returns the last peer that announced the highest offset; empty if it was given up. */
+    Optional<NodeName> peerAhead() {
+        return mPeerAhead;
+    }
+
+    /** Fetches from this peer no more until it announces an offset again. */
+    void giveUp(NodeName peer) {
+        mPeerAhead = mPeerAhead.filter(ahead -> !ahead.equals(peer));
     }
 
     /** Returns whether any peer announced a higher offset than this node has reached. */
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/relay/StreamRelay.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/relay/StreamRelay.java
@@ -185,7 +185,7 @@
                                 delta.getFromOffset(), StreamDeltas.batchOf(delta), confirmed);
         if (!continues) {
             // A delta was lost or overtaken; the fetch waits for the grace period.
-            state.updatePeerOffset(delta.getNextOffset(), now);
+            state.updatePeerOffset(sender, delta.getNextOffset(), now);
         }
     }
 
@@ -204,7 +204,7 @@
         if (position.getNextOffset() <= state.follower().nextOffset()) {
             return;
         }
-        state.updatePeerOffset(position.getNextOffset(), now);
+        state.updatePeerOffset(sender, position.getNextOffset(), now);
         if (state.fetch() == null && shouldFetch(state, now)) {
             startFetch(state, sender, now);
         }
@@ -237,6 +237,7 @@
         }
         if (now - fetch.lastProgressMilliseconds() >= mSettings.giveUpAfter().toMillis()) {
             state.fetch(null);
+            state.giveUp(fetch.peer());
         } else if (now - fetch.lastRequestMilliseconds() >= mSettings.retryInterval().toMillis()) {
             requestParts(state, fetch, now);
         }
@@ -246,7 +247,9 @@
         boolean behind = state.isBehind() || !state.hasSnapshot();
         List<NodeName> peers = mOutbox.peers();
         if (behind && !peers.isEmpty() && shouldFetch(state, now)) {
-            startFetch(state, peers.get(mRandom.nextInt(peers.size())), now);
+            NodeName peer =
+                    state.peerAhead().orElseGet(() -> peers.get(mRandom.nextInt(peers.size())));
+            startFetch(state, peer, now);
         }
     }
 
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/relay/StreamRelayTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/relay/StreamRelayTest.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.core.time.ManualClock;
 import org.foxtailridge.forwarding.stream.FakeLog;
@@ -27,6 +28,7 @@
 import org.foxtailridge.protocol.relay.RelayMessage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -34,6 +36,8 @@
  * nodes, also when messages are lost, and without load on the peers while the log answers.
  */
 class StreamRelayTest {
+    private static final int LOST_NODES = 6;
+
     private final ManualClock mClock = ManualClock.at(Instant.ofEpochSecond(50));
     private final Map<NodeName, Node> mNodes = new LinkedHashMap<>();
     private final Deque<Runnable> mNetwork = new ArrayDeque<>();
@@ -93,6 +97,32 @@
         assertThat(fresh.mFollower.values()).containsKey("endpoint");
     }
 
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void should_fetch_an_edit_from_the_node_that_announced_it(int seed) {
+        // GIVEN one node that the log serves, one that it turns away, and nodes that are lost
+        // without the others knowing yet
+        mLoss.setSeed(seed);
+        Node served = node("served-" + seed, KeyedStream.CONFIGURATION);
+        Node unserved = node("turned-away-" + seed, KeyedStream.CONFIGURATION);
+        unserved.mLog.setUnavailable(true);
+        for (int lost = 0; lost < LOST_NODES; lost++) {
+            node("lost-" + lost, KeyedStream.CONFIGURATION).mLost = true;
+        }
+        run(1_000);
+
+        // WHEN
+        served.mLog.append(KeyedRecord.of("configuration", new byte[10]));
+        run(2_000);
+
+        // THEN
+        assertThat(unserved.mFollower.values()).containsKey("configuration");
+    }
+
+    private static IntStream seeds() {
+        return IntStream.range(0, 50);
+    }
+
     private Node node(String name, KeyedStream stream) {
         Node node = new Node(NodeName.of(name), stream);
         mNodes.put(node.mName, node);
@@ -102,7 +132,7 @@
     private void run(long milliseconds) {
         for (long passed = 0; passed < milliseconds; passed += 20) {
             mClock.advance(Duration.ofMillis(20));
-            for (Node node : List.copyOf(mNodes.values())) {
+            for (Node node : mNodes.values().stream().filter(each -> !each.mLost).toList()) {
                 node.mFollower.tick();
                 node.mRelay.tick();
             }
@@ -118,6 +148,7 @@
         private final StreamRelay mRelay;
         private FakeLog mLog = new FakeLog();
         private int mPartsSent;
+        private boolean mLost;
 
         private Node(NodeName name, KeyedStream stream) {
             mName = name;
@@ -159,7 +190,7 @@
         @Override
         public void send(NodeName receiver, RelayMessage message) {
             mPartsSent += message.hasPart() ? 1 : 0;
-            if (mLoss.nextDouble() >= mLossRate) {
+            if (!mNodes.get(receiver).mLost && mLoss.nextDouble() >= mLossRate) {
                 mNetwork.add(() -> mNodes.get(receiver).mRelay.receive(mName, message));
             }
         }
