--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -304,7 +304,7 @@
     @Override
     public void failed(AttemptFailure failure, String reason) {
         mExchange = null;
-        mLog.exchangeFailed(mResolved, mStateMachine.endpoint(), reason);
+        mLog.exchangeFailed(mResolved, mStateMachine.endpoint(), reason, mForwardedParts);
         if (failure == AttemptFailure.BROKEN) {
             mDependencies
                     .crashes()
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/RequestLines.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/RequestLines.java
@@ -41,6 +41,7 @@
                         .text("service", resolved.service())
                         .text("account", resolved.accountName())
                         .text("model", resolved.metadata().model().map(Object::toString).orElse(""))
+                        .text("shared_parts", String.join(",", resolved.metadata().sharedParts()))
                         .number("tokens", resolved.countedTokens())
                         .number(
                                 "time_ms",
@@ -72,9 +73,17 @@
                         .text("adapter_loads_first", mustLoadAdapter));
     }
 
-    /** Logs the reason of a failed exchange as the connection reports it. */
-    void exchangeFailed(ResolvedRequest resolved, EndpointName endpoint, String reason) {
-        write(line("exchange_failed", resolved).text("endpoint", endpoint).text("reason", reason));
+    /**
+     * Logs the reason of a failed exchange as the connection reports it, and how many parts of the
+     * answer had been forwarded.
+     */
+    void exchangeFailed(
+            ResolvedRequest resolved, EndpointName endpoint, String reason, int answerParts) {
+        write(
+                line("exchange_failed", resolved)
+                        .text("endpoint", endpoint)
+                        .text("reason", reason)
+                        .number("answer_parts", answerParts));
     }
 
     /** Records the time from arrival to the first forwarded part of the answer. */
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestMetadata.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestMetadata.java
@@ -55,4 +55,12 @@
         }
         return OptionalLong.of((long) promptTokens.getAsInt() + maximumOutputTokens.getAsInt());
     }
+
+    /**
+     * Returns the identifiers of the parts of the prompt that other requests may have in common
+     * with this one: all but the last, which belongs to the request or its session.
+     */
+    public List<String> sharedParts() {
+        return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
+    }
 }
