Hold back requests with a prompt part that crashes the endpoints that begin to answer it

Cause: a node counted crashes by request (path, client account, body). The deadly requests have one part of their prompts in common and no two are alike, so each counted once and none was held back. The class: the suspect is identified by a key that the cause does not determine.

Change: nodes tell each other which shared parts waited, unanswered, at an endpoint that crashed, and which of these are answered elsewhere (PromptCrashLedger). The part that occurs in the most crashes explains them; parts that were answered shortly before or since are cleared, and parts that only waited beside it are blamed for no crash that it explains. After three crashes, five in doubt, every node refuses requests with it, at once and also those that wait, as not run. After a minute, doubled each time, one node tries one request; an answer releases the part everywhere.

Ways weighed: hold back by account and model (refuses all sound requests beside it); isolate suspects on one endpoint (loses it for good and still crashes on); ask a home node before each run (a message for each request).

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -2,16 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -42,7 +39,6 @@
  * <p>Confined to the event loop of the forwarder.
  */
 final class ForwardedRequest implements RequestOutbox, ExchangeListener, CallerListener {
-    private static final double MILLISECONDS_PER_SECOND = 1_000;
     // An idempotent request is retried at another endpoint after this multiple of its target
     // latency.
     private static final int ATTEMPT_TIMEOUT_FACTOR = 3;
@@ -54,6 +50,7 @@
     private final ResolvedRequest mResolved;
     private final RequestStateMachine mStateMachine;
     private final AnswerWriter mAnswerWriter;
+    private final CrashReporter mCrashes;
     private final RequestLines mLog;
     private BufferedAnswer mBufferedAnswer;
     private Reservation mReservation;
@@ -76,6 +73,7 @@
         mResolved = resolved;
         boolean streams = resolved.route().kind() == RequestKind.STREAM;
         mAnswerWriter = new AnswerWriter(caller, dependencies.dialect(), streams);
+        mCrashes = new CrashReporter(dependencies, resolved, caller);
         mLog = dependencies.log().lines();
         mStateMachine =
                 new RequestStateMachine(
@@ -100,6 +98,10 @@
         return mResolved;
     }
 
+    CrashReporter crashes() {
+        return mCrashes;
+    }
+
     RequestStateMachine stateMachine() {
         return mStateMachine;
     }
@@ -167,6 +169,7 @@
     public void send(EndpointName endpoint) {
         mFirstTokenReported = false;
         mForwardedParts = 0;
+        mCrashes.sent();
         Optional<EndpointAnnouncement> announcement = mForwarder.registry().find(endpoint);
         if (announcement.isEmpty()) {
             mDependencies
@@ -264,6 +267,7 @@
         boolean forwarded = mAnswerWriter.content(content);
         if (forwarded) {
             mForwardedParts++;
+            mCrashes.partForwarded();
             if (isFirstPart) {
                 mLog.firstPartForwarded(mResolved);
             }
@@ -279,10 +283,14 @@
     public void complete() {
         mExchange = null;
         AnswerOutcome outcome = mAnswerWriter.outcome();
+        mCrashes.alive(mStateMachine.endpoint());
         switch (outcome) {
             case SUCCESS, REJECTION -> {
                 reportFirstToken();
-                reportEndpointAlive();
+                if (outcome == AnswerOutcome.SUCCESS) {
+                    mCrashes.succeeded();
+                }
+                mCrashes.answered(mStateMachine.endpoint());
                 mAnswerWriter.complete();
                 mStateMachine.answerCompleted();
             }
@@ -306,29 +314,14 @@
         mExchange = null;
         mLog.exchangeFailed(mResolved, mStateMachine.endpoint(), reason, mForwardedParts);
         if (failure == AttemptFailure.BROKEN) {
-            mDependencies
-                    .crashes()
-                    .broken(Forwarder.fingerprint(mResolved, mCaller), mStateMachine.endpoint());
+            mCrashes.broken(mStateMachine.endpoint());
         }
         mStateMachine.attemptFailed(failure, false);
     }
 
     /** Takes a retry from the budget, unless the request is held back after endpoint crashes. */
     private boolean tryAcquireRetry(String service) {
-        return mForwarder.heldBackMilliseconds(mResolved, mCaller) == 0
-                && mDependencies.retries().take(service);
-    }
-
-    /**
-     * Reports to the crash ledger that the endpoint answered. Must be called before the answer
-     * ends, as that releases the body from which the fingerprint is computed.
-     */
-    private void reportEndpointAlive() {
-        if (!mDependencies.crashes().isEmpty()) {
-            mDependencies
-                    .crashes()
-                    .answered(Forwarder.fingerprint(mResolved, mCaller), mStateMachine.endpoint());
-        }
+        return mCrashes.heldBackMilliseconds() == 0 && mDependencies.retries().take(service);
     }
 
     private void bufferAnswer() {
@@ -395,18 +388,4 @@
             timer.cancel(false);
         }
     }
-
-    static HttpHeaders errorHeaders(OptionalLong retryAfterMilliseconds) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        retryAfterMilliseconds.ifPresent(
-                milliseconds ->
-                        headers.set(
-                                HttpHeaderNames.RETRY_AFTER,
-                                String.format(
-                                        Locale.ROOT,
-                                        "%.3f",
-                                        milliseconds / MILLISECONDS_PER_SECOND)));
-        return headers;
-    }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -1,6 +1,5 @@
 package org.foxtailridge.forwarding.front;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
@@ -21,7 +20,6 @@
 import org.foxtailridge.core.error.ErrorTable;
 import org.foxtailridge.core.name.ClientAccountName;
 import org.foxtailridge.core.name.EndpointName;
-import org.foxtailridge.execution.quarantine.Fingerprint;
 import org.foxtailridge.forwarding.configuration.CallerLimits;
 import org.foxtailridge.forwarding.configuration.ForwardingConfiguration;
 import org.foxtailridge.forwarding.configuration.ForwardingService;
@@ -127,6 +125,16 @@
         }
     }
 
+    /** Refuses the requests that wait and have a part that is held back since they arrived. */
+    public void refuseHeldBack() {
+        for (ForwardedRequest request : List.copyOf(mRequests.values())) {
+            long heldBack = request.crashes().heldBackForPromptMilliseconds();
+            if (heldBack > 0) {
+                request.stateMachine().heldBack(heldBack);
+            }
+        }
+    }
+
     @Override
     public void handle(CallerExchange exchange) {
         RequestMetadata metadata;
@@ -158,7 +166,8 @@
                     "node stops before the request could end");
             return;
         }
-        long heldBack = heldBackMilliseconds(resolved, exchange);
+        ForwardedRequest request = new ForwardedRequest(this, mDependencies, exchange, resolved);
+        long heldBack = request.crashes().heldBackMilliseconds();
         if (heldBack > 0) {
             refuse(
                     exchange,
@@ -169,7 +178,6 @@
             return;
         }
         mDependencies.retries().requested(resolved.service());
-        ForwardedRequest request = new ForwardedRequest(this, mDependencies, exchange, resolved);
         mRequests.put(resolved.runId(), request);
         mDemand.recordArrival(resolved);
         request.start();
@@ -221,20 +229,6 @@
                 attempt.attemptId());
     }
 
-    /**
-     * Returns for how long a request suspected of crashing endpoints is held back; 0 if it may run.
-     */
-    long heldBackMilliseconds(ResolvedRequest resolved, CallerExchange exchange) {
-        return mDependencies.crashes().isEmpty()
-                ? 0
-                : mDependencies.crashes().heldBackMilliseconds(fingerprint(resolved, exchange));
-    }
-
-    static Fingerprint fingerprint(ResolvedRequest resolved, CallerExchange exchange) {
-        byte[] body = ByteBufUtil.getBytes(exchange.body());
-        return Fingerprint.of(resolved.accountName(), resolved.metadata().target(), body);
-    }
-
     EndpointRegistry registry() {
         return mRegistry;
     }
@@ -343,7 +337,7 @@
         exchange.begin(
                 status,
                 HttpResponseStatus.valueOf(status).reasonPhrase(),
-                ForwardedRequest.errorHeaders(retryAfter),
+                ErrorBody.headers(retryAfter),
                 OptionalLong.of(body.length));
         exchange.write(Unpooled.wrappedBuffer(body));
         exchange.end();
@@ -390,6 +384,12 @@
             mScheduler.attemptEnded(attempt.attemptId(), AttemptOutcome.CANCELLED, 0);
             return;
         }
+        long heldBack = request.crashes().heldBackForPromptMilliseconds();
+        if (heldBack > 0) {
+            mScheduler.attemptEnded(attempt.attemptId(), AttemptOutcome.CANCELLED, 0);
+            request.stateMachine().heldBack(heldBack);
+            return;
+        }
         request.dispatched(attempt, decision);
     }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwarderDependencies.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwarderDependencies.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.random.RandomGenerator;
 import org.foxtailridge.execution.crash.CrashLedger;
+import org.foxtailridge.execution.crash.PromptCrashLedger;
 import org.foxtailridge.execution.retry.FleetRetryBudget;
 import org.foxtailridge.forwarding.http.EndpointConnections;
 import org.foxtailridge.forwarding.http.RequestDialect;
@@ -21,6 +22,7 @@
  * @param limiter token limits of client accounts
  * @param retries fleet-wide retry budget
  * @param crashes ledger of requests suspected of crashing endpoints
+ * @param promptCrashes ledger of prompt parts suspected of crashing endpoints
  * @param adapters loads adapters on endpoints
  * @param log log and metrics of requests
  */
@@ -33,6 +35,7 @@
         TokenLimiter limiter,
         FleetRetryBudget retries,
         CrashLedger crashes,
+        PromptCrashLedger promptCrashes,
         AdapterLoader adapters,
         RequestLog log) {
     /** Rejects null components. */
@@ -45,6 +48,7 @@
         Objects.requireNonNull(limiter, "limiter");
         Objects.requireNonNull(retries, "retries");
         Objects.requireNonNull(crashes, "crashes");
+        Objects.requireNonNull(promptCrashes, "promptCrashes");
         Objects.requireNonNull(adapters, "adapters");
         Objects.requireNonNull(log, "log");
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/RetryAfterRule.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/RetryAfterRule.java
@@ -43,8 +43,8 @@
             return Math.max(1, afterCongestion(maximumWait));
         }
         boolean isModelMissing = kind == ErrorKind.NO_ENDPOINT && requestsModel;
-        long hintOrDefault = hint > 0 ? hint : SHORT_MILLISECONDS;
-        long base = isModelMissing ? MODEL_LOAD_MILLISECONDS : hintOrDefault;
+        long unknown = isModelMissing ? MODEL_LOAD_MILLISECONDS : SHORT_MILLISECONDS;
+        long base = hint > 0 ? hint : unknown;
         return Math.max(1, Math.min(withJitter(base), maximumWait));
     }
 
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -115,7 +115,7 @@
                         mDuties,
                         mNetwork);
         mRetries = new FleetRetryBudget(settings.retries(), clock);
-        mCrashes = new NodeCrashes(clock, mMembers, mNetwork);
+        mCrashes = new NodeCrashes(settings.name(), clock, mMembers, mNetwork);
         mConnections = new EndpointConnections(loop, ConnectionSettings.defaults(), clock);
         ExpectedTimeRouter router =
                 ExpectedTimeRouter.create(clock, routing(settings), incarnation);
@@ -326,7 +326,8 @@
                         mConnections,
                         mLimits.limiter(),
                         mRetries,
-                        mCrashes.ledger(),
+                        mCrashes.requests(),
+                        mCrashes.prompts(),
                         mPlacement,
                         log);
         return new Forwarder(
@@ -367,7 +368,9 @@
         mMembers.tick();
         mDuties.tick();
         mEndpoints.tick();
-        mCrashes.ledger().tick();
+        if (mCrashes.tick()) {
+            mForwarder.refuseHeldBack();
+        }
         mRetries.nodes(mMembers.fleetSize());
         mScheduler.tick();
         mCallers.tick();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeCrashes.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeCrashes.java
@@ -1,23 +1,62 @@
 package org.foxtailridge.forwarding.node;
 
 import java.time.Clock;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailridge.core.name.NodeName;
 import org.foxtailridge.execution.crash.CrashLedger;
+import org.foxtailridge.execution.crash.CrashOutbox;
+import org.foxtailridge.execution.crash.PromptCrashLedger;
+import org.foxtailridge.membership.duty.Rendezvous;
 import org.foxtailridge.protocol.crashes.CrashesMessage;
 import org.foxtailridge.protocol.envelope.Subject;
 
-/** Connects the ledger of endpoint crashes to the network: crashes are shared between nodes. */
+/** Connects the ledgers of endpoint crashes to the network: crashes are shared between nodes. */
 final class NodeCrashes {
-    private final CrashLedger mLedger;
+    private static final String TRY_DUTY_PREFIX = "try-prompt-part:";
 
-    NodeCrashes(Clock clock, NodeMembership members, DatagramNetwork network) {
-        mLedger = new CrashLedger(clock, message -> members.sendToPeers(Subject.CRASHES, message));
+    private final NodeName mNode;
+    private final NodeMembership mMembers;
+    private final CrashLedger mRequests;
+    private final PromptCrashLedger mPrompts;
+
+    NodeCrashes(NodeName node, Clock clock, NodeMembership members, DatagramNetwork network) {
+        mNode = node;
+        mMembers = members;
+        CrashOutbox outbox = message -> members.sendToPeers(Subject.CRASHES, message);
+        mRequests = new CrashLedger(clock, outbox);
+        mPrompts = new PromptCrashLedger(clock, outbox, this::triesPart);
         network.receive(
                 Subject.CRASHES,
                 CrashesMessage.parser(),
-                (sender, message) -> mLedger.received(message));
+                (sender, message) -> {
+                    mRequests.received(message);
+                    mPrompts.received(message);
+                });
+    }
+
+    /** Returns the ledger of single requests. */
+    CrashLedger requests() {
+        return mRequests;
+    }
+
+    /** Returns the ledger of prompt parts. */
+    PromptCrashLedger prompts() {
+        return mPrompts;
+    }
+
+    /** Updates the ledgers; returns whether requests that wait may have to be refused. */
+    boolean tick() {
+        mRequests.tick();
+        return mPrompts.tick();
     }
 
-    CrashLedger ledger() {
-        return mLedger;
+    /** Returns whether this node, of all nodes, tries a part that was held back. */
+    private boolean triesPart(long part) {
+        Set<NodeName> nodes = new HashSet<>(mMembers.peers());
+        nodes.add(mNode);
+        String duty = TRY_DUTY_PREFIX + Long.toHexString(part);
+        return Rendezvous.first(duty, nodes).equals(Optional.of(mNode));
     }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestStateMachine.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestStateMachine.java
@@ -173,6 +173,21 @@
         }
     }
 
+    /**
+     * Ends the request, unless it is sent, because requests like it crash endpoints.
+     *
+     * @param retryAfterMilliseconds time after which a retry may succeed
+     */
+    public void heldBack(long retryAfterMilliseconds) {
+        if (mPhase == RequestPhase.ENDED || isSent()) {
+            return;
+        }
+        if (isAttemptInProgress()) {
+            mOutbox.endAttempt(AttemptOutcome.CANCELLED);
+        }
+        finish(ErrorKind.NO_ENDPOINT, retryAfterMilliseconds);
+    }
+
     /** Ends the request because its deadline has passed. */
     public void deadlinePassed() {
         if (mPhase == RequestPhase.ENDED) {
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/RetryAfterRuleTest.java
@@ -66,6 +66,12 @@
                 .isBetween(700L, 1_050L);
     }
 
+    @Test
+    void should_prefer_a_known_time_to_the_load_time_of_a_model() {
+        assertThat(mRule.milliseconds(request("m", 300_000), ErrorKind.NO_ENDPOINT, 60_000, 0))
+                .isBetween(60_000L, 90_000L);
+    }
+
     private static ResolvedRequest request(String model, long timeMilliseconds) {
         return TestRequests.of(RequestKind.STREAM)
                 .model(model)
