Close the callers' connections when a planned stop has found no request left

Cause: a stopping node that finds no request in flight closes its address and ends the process from another thread. Until then its event loop goes on reading requests on open connections, passes them on, and the end of the process cuts them.

Change: the node closes its callers' connections in the same turn of the loop in which it finds that none has a request. What arrives afterwards is not read, so that callers may send it elsewhere.

Evidence: PlannedStopTest fails when the connections stay open (the request is handled), and passes with the change. Ruled out: a request that was too long for the stop (its run took 1 ms).

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
@@ -79,6 +79,12 @@
         }
     }
 
+    /** Closes the connection whatever its state. */
+    void close() {
+        mClosing = true;
+        mChannel.close();
+    }
+
     /** Closes the connection when the head, the body or the next request has not come in time. */
     void checkTimeouts(long now) {
         if (mExchange != null || mClosing) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
@@ -29,8 +29,8 @@
  * <pre>{@code
  * CallerServer server = new CallerServer(loop, handler, clock);
  * server.listen(address).thenRun(ready);
- * server.stopListening();    // planned stop: no new connections
- * server.closeIdle(Duration.ofMillis(400));   // connections without a request
+ * server.closeIdle(Duration.ofMillis(400));   // planned stop: connections without a request
+ * server.close();    // once no request is left
  * }</pre>
  */
 public final class CallerServer {
@@ -87,11 +87,15 @@
         return (InetSocketAddress) mChannel.localAddress();
     }
 
-    /** Stops accepting connections; open ones stay open. */
-    public void stopListening() {
+    /**
+     * Closes the address and every connection. A request that arrives afterwards is not read, so
+     * that its caller may send it to another node.
+     */
+    public void close() {
         if (mChannel != null) {
             mChannel.close();
         }
+        List.copyOf(mConnections).forEach(CallerConnection::close);
     }
 
     /** Closes connections without a request that have been idle for at least the given time. */
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -258,7 +258,7 @@
         mCallers.closeIdle(IDLE_TIMEOUT_AT_STOP);
         boolean timedOut = !mClock.instant().isBefore(end);
         if (mCallers.busyConnections() == 0 || timedOut) {
-            mCallers.stopListening();
+            mCallers.close();
             LogEvent.named("node_stopped")
                     .number("requests_under_way", mForwarder.underWay())
                     .writeTo(LOGGER);
