Count an answer that is not written yet as in flight at a planned stop

What callers could see: a truncated answer at a planned stop, when they read more slowly than the node forwards.

Cause: a request counted as ended with the last write into the connection's buffer.

Change: a connection is busy until its last answer is written. The limit for idle connections is as it was, so that a caller that never reads does not hold a connection forever.

Evidence: PlannedStopTest, an answer of 32 MiB to a caller that reads after closeIdle: fails when only requests count, passes with the change.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -43,6 +44,7 @@
     private final Deque<HttpObject> mPending = new ArrayDeque<>();
     private IncomingRequest mIncoming;
     private ChannelExchange mExchange;
+    private ChannelFuture mAnswerWritten;
     private long mLastByteMilliseconds;
     // Arrival of the first byte of a head that is not complete; 0 when there is none.
     private long mHeadStartMilliseconds;
@@ -58,6 +60,7 @@
         mHandler = handler;
         mClock = clock;
         mOnClosed = onClosed;
+        mAnswerWritten = channel.newSucceededFuture();
         mLastByteMilliseconds = clock.millis();
     }
 
@@ -68,7 +71,12 @@
         }
     }
 
+    /** Returns whether a request is being read or answered, or an answer is not written yet. */
     boolean isBusy() {
+        return hasRequest() || !mAnswerWritten.isDone();
+    }
+
+    private boolean hasRequest() {
         return mExchange != null || mIncoming != null || !mPending.isEmpty();
     }
 
@@ -99,7 +107,7 @@
                         && now - mHeadStartMilliseconds >= headLimit;
         if (headTimedOut || (mIncoming != null && idle >= idleLimit)) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT, ErrorKind.MALFORMED_REQUEST, "too slow");
-        } else if (!isBusy() && idle >= idleLimit) {
+        } else if (!hasRequest() && idle >= idleLimit) {
             mChannel.close();
         }
     }
@@ -146,9 +154,14 @@
         context.close();
     }
 
-    /** Ends the exchange in flight, then reads the next request or closes the connection. */
-    void exchangeEnded(boolean keepOpen) {
+    /**
+     * Ends the exchange in flight, then reads the next request or closes the connection.
+     *
+     * @param written completes when the last byte of the answer is written
+     */
+    void exchangeEnded(ChannelFuture written, boolean keepOpen) {
         mExchange = null;
+        mAnswerWritten = written;
         mHeadStartMilliseconds = 0;
         mLastByteMilliseconds = mClock.millis();
         if (!keepOpen) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/ChannelExchange.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/ChannelExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -105,9 +106,9 @@
         }
         mEnded = true;
         mRequest.release();
-        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        ChannelFuture written = mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         // The stop may have started after the head of the answer announced keep-alive.
-        mConnection.exchangeEnded(mKeepOpen && !mHandler.isStopping());
+        mConnection.exchangeEnded(written, mKeepOpen && !mHandler.isStopping());
     }
 
     @Override
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/PlannedStopTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/PlannedStopTest.java
@@ -11,8 +11,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.OptionalLong;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
 import org.foxtailridge.core.error.ErrorKind;
 import org.foxtailridge.core.time.MonotonicClock;
 import org.foxtailridge.forwarding.configuration.CallerLimits;
@@ -23,6 +26,8 @@
 /** Guards against requests and answers that are cut off by the end of a planned stop. */
 class PlannedStopTest {
     private static final byte[] REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(US_ASCII);
+    // More than the buffers of both sockets hold.
+    private static final int LARGE_BYTES = 32 * 1024 * 1024;
     private static final int TIMEOUT_MILLISECONDS = 20_000;
 
     private final MultiThreadIoEventLoopGroup mGroup =
@@ -58,6 +63,29 @@
         }
     }
 
+    @Test
+    void should_count_an_answer_that_is_not_written_yet_as_in_flight() throws Exception {
+        // GIVEN a caller that does not read a large answer
+        mHandler.mAnswerBytes = LARGE_BYTES;
+        try (Socket caller = connect()) {
+            caller.getOutputStream().write(REQUEST);
+            Awaitility.await().until(() -> mHandler.mHandled == 1);
+
+            // WHEN
+            int busy = onLoop(mServer::busyConnections);
+            mLoop.submit(() -> mServer.closeIdle(Duration.ZERO)).syncUninterruptibly();
+
+            // THEN it gets the whole answer when it reads
+            assertThat(busy).isEqualTo(1);
+            assertThat(caller.getInputStream().readNBytes(LARGE_BYTES)).hasSize(LARGE_BYTES);
+            Awaitility.await().until(() -> onLoop(mServer::busyConnections) == 0);
+        }
+    }
+
+    private int onLoop(Callable<Integer> count) throws Exception {
+        return mLoop.submit(count).get(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
+
     private Socket connect() throws IOException {
         Socket caller = new Socket("127.0.0.1", mServer.address().getPort());
         caller.setSoTimeout(TIMEOUT_MILLISECONDS);
