Take a stream that ends inside an event, or unframed before the first, for broken off

A crash at the beginning of such an answer would also have cleared a deadly part of a prompt.

Cause: the end of the connection completes an unframed answer, and what was left of a partial event was forwarded before the answer to the caller was ended as complete.

Change: a stream that ends inside an event, and an unframed one that ends before its first event, are broken attempts: another worker goes on where the route allows it, else the answer is aborted.

Evidence: BrokenOffStreamTest, eight streams, five of them broken off. EventSplitter and its test are unchanged.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.foxtailridge.forwarding.http.AnswerOutcome;
@@ -36,6 +37,7 @@
     private AnswerOutcome mOutcome;
     private boolean mStarted;
     private boolean mForwardsEvents;
+    private boolean mHasEventOfAttempt;
     private String mLastEventId;
 
     AnswerWriter(CallerExchange caller, RequestDialect dialect, boolean streams) {
@@ -88,6 +90,18 @@
         return mOutcome == AnswerOutcome.SUCCESS;
     }
 
+    /**
+     * Returns whether a stream that ended was in fact broken off: inside an event, or, if the end
+     * of the connection is the only sign of its end, before the first event.
+     */
+    boolean isBrokenOff() {
+        boolean framed =
+                HttpUtil.isTransferEncodingChunked(mHead)
+                        || mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        return mForwardsEvents
+                && (mSplitter.partialBytes() > 0 || (!framed && !mHasEventOfAttempt));
+    }
+
     /** Returns whether any part was forwarded to the caller. */
     boolean hasStarted() {
         return mStarted;
@@ -95,7 +109,7 @@
 
     /** Forwards what is left of the endpoint's answer and ends the answer to the caller. */
     void complete() {
-        ByteBuf rest = mForwardsEvents ? mSplitter.takePartial() : takeBuffered();
+        ByteBuf rest = mForwardsEvents ? Unpooled.EMPTY_BUFFER : takeBuffered();
         if (!mStarted) {
             startAnswer(
                     mForwardsEvents ? OptionalLong.empty() : OptionalLong.of(rest.readableBytes()));
@@ -129,6 +143,7 @@
         takeBuffered().release();
         mOutcome = null;
         mForwardsEvents = false;
+        mHasEventOfAttempt = false;
     }
 
     private boolean forwardEvents(ByteBuf content) {
@@ -137,6 +152,7 @@
             events.release();
             return false;
         }
+        mHasEventOfAttempt = true;
         if (!mStarted) {
             startAnswer(OptionalLong.empty());
         }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -281,6 +281,10 @@
 
     @Override
     public void complete() {
+        if (mAnswerWriter.isBrokenOff()) {
+            failed(AttemptFailure.BROKEN, "the stream ended inside an event or before the first");
+            return;
+        }
         mExchange = null;
         AnswerOutcome outcome = mAnswerWriter.outcome();
         mCrashes.alive(mStateMachine.endpoint());
--- /dev/null
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
@@ -0,0 +1,135 @@
+package org.foxtailridge.forwarding.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import org.foxtailridge.forwarding.http.AnswerOutcome;
+import org.foxtailridge.forwarding.http.AttemptParameters;
+import org.foxtailridge.forwarding.http.CallerExchange;
+import org.foxtailridge.forwarding.http.CallerListener;
+import org.foxtailridge.forwarding.http.RequestDialect;
+import org.foxtailridge.forwarding.request.RequestMetadata;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against a stream that reaches its caller as complete although its endpoint broke it off.
+ */
+class BrokenOffStreamTest {
+    private static final String FRAMED = "Transfer-Encoding: chunked";
+    private static final String UNFRAMED = "Other: value";
+
+    private final AnswerWriter mWriter = new AnswerWriter(new Caller(), new Dialect(), true);
+
+    @ParameterizedTest(name = "{0}, [{1}]")
+    @CsvSource({
+        FRAMED + ", 'id: 1\n\n', false",
+        UNFRAMED + ", 'id: 1\n\n', false",
+        FRAMED + ", 'id: 1\n\nid: 2\nda', true",
+        UNFRAMED + ", 'id: 1\n\nid: 2\nda', true",
+        UNFRAMED + ", 'id: 1\n\nid: 2\n', true",
+        UNFRAMED + ", 'da', true",
+        UNFRAMED + ", '', true",
+        FRAMED + ", '', false",
+    })
+    void should_tell_whether_a_stream_that_ended_was_broken_off(
+            String framing, String events, boolean expected) {
+        // GIVEN
+        mWriter.head(head(framing));
+
+        // WHEN
+        ByteBuf content = Unpooled.copiedBuffer(events, StandardCharsets.UTF_8);
+        mWriter.content(content);
+
+        // THEN
+        assertThat(mWriter.isBrokenOff()).isEqualTo(expected);
+    }
+
+    private static HttpResponse head(String header) {
+        String[] field = header.split(": ");
+        HttpHeaders headers =
+                new DefaultHttpHeaders()
+                        .set("Content-Type", "text/event-stream")
+                        .set(field[0], field[1]);
+        return new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, headers);
+    }
+
+    private static final class Dialect implements RequestDialect {
+        @Override
+        public RequestMetadata readRequest(HttpRequest head) {
+            throw new AssertionError("expected no request");
+        }
+
+        @Override
+        public HttpHeaders headersToEndpoint(HttpRequest head, AttemptParameters parameters) {
+            throw new AssertionError("expected no request");
+        }
+
+        @Override
+        public boolean isAnswerTo(HttpResponse head, String requestId) {
+            return true;
+        }
+
+        @Override
+        public AnswerOutcome outcomeOf(HttpResponse head) {
+            return AnswerOutcome.SUCCESS;
+        }
+
+        @Override
+        public HttpHeaders headersToCaller(HttpResponse head) {
+            return head.headers();
+        }
+    }
+
+    private static final class Caller implements CallerExchange {
+        @Override
+        public HttpRequest head() {
+            throw new AssertionError("expected no use of the request");
+        }
+
+        @Override
+        public ByteBuf body() {
+            return Unpooled.EMPTY_BUFFER;
+        }
+
+        @Override
+        public long arrivedMilliseconds() {
+            return 0;
+        }
+
+        @Override
+        public void setListener(CallerListener listener) {}
+
+        @Override
+        public void begin(int status, String reason, HttpHeaders headers, OptionalLong length) {}
+
+        @Override
+        public void write(ByteBuf content) {
+            content.release();
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void end() {}
+
+        @Override
+        public void abort() {}
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+    }
+}
