Blame prompt parts only while reports of a crash come in

A node evaluated all crashes of the last minute each 0.1 s, up to 256 crashes with 256 parts each. Only a new crash changes who is to blame, and answers to it arrive within 0.4 s, so the ledger evaluates for a second after each report. DeadlyPromptPartTest, 152 cases, as before.

--- a/execution/src/main/java/org/foxtailridge/execution/crash/PromptCrashLedger.java
+++ b/execution/src/main/java/org/foxtailridge/execution/crash/PromptCrashLedger.java
@@ -46,6 +46,9 @@
     /** Time in which nodes that have answered a part tell so before it is blamed. */
     static final long DECISION_DELAY_MILLISECONDS = 250;
 
+    // Nodes report a crash, and the answers that clear parts, within this time. Later on only the
+    // next crash changes who is to blame.
+    private static final long EVALUATION_MILLISECONDS = 1_000;
     // An answer that was received together with the end of the broken connection proves nothing.
     private static final long SAME_READ_MILLISECONDS = 20;
     // A node tells of an answer to a part that may have caused this many crashes.
@@ -67,6 +70,7 @@
     private final List<BrokenAttempt> mDoubts = new ArrayList<>();
     private final Map<PromptCrash, Integer> mCrashesToTell = new LinkedHashMap<>();
     private final Map<Long, Integer> mReleasesToTell = new LinkedHashMap<>();
+    private long mEvaluatedUntilMilliseconds;
 
     /**
      * Creates a ledger that knows of no crash.
@@ -157,8 +161,9 @@
         confirmCrashes(now);
         mIncidents.forgetOld(now);
         mHeld.forgetOld(now);
-        tell(now);
-        return holdBlamed(now);
+        boolean evaluates = !mIncidents.isEmpty() && now <= mEvaluatedUntilMilliseconds;
+        tell(now, evaluates);
+        return evaluates && holdBlamed(now);
     }
 
     private void confirmCrashes(long now) {
@@ -177,14 +182,12 @@
     }
 
     private void addIncident(PromptCrash crash, long now) {
+        mEvaluatedUntilMilliseconds = now + EVALUATION_MILLISECONDS;
         List<Long> parts = crash.getPartsList().stream().limit(MAXIMUM_PARTS_OF_REQUEST).toList();
         mIncidents.add(crash.getEndpoint(), parts, now - CrashLedger.DOUBT_MILLISECONDS, now);
     }
 
     private boolean holdBlamed(long now) {
-        if (mIncidents.isEmpty()) {
-            return false;
-        }
         Collection<Long> blamed =
                 mIncidents.blame(mAnswers::last, mHeld.parts(), now - DECISION_DELAY_MILLISECONDS);
         boolean changed = false;
@@ -221,8 +224,8 @@
         return released;
     }
 
-    private void tell(long now) {
-        List<AnsweredPart> answers = answersToTell(now);
+    private void tell(long now, boolean evaluates) {
+        List<AnsweredPart> answers = answersToTell(now, evaluates);
         if (mCrashesToTell.isEmpty() && answers.isEmpty()) {
             return;
         }
@@ -234,9 +237,9 @@
     }
 
     /** Returns the answers that clear parts which other nodes may suspect or hold back. */
-    private List<AnsweredPart> answersToTell(long now) {
+    private List<AnsweredPart> answersToTell(long now, boolean evaluates) {
         Set<Long> parts = new LinkedHashSet<>(take(mReleasesToTell, MAXIMUM_ANSWERS_OF_MESSAGE));
-        if (!mIncidents.isEmpty()) {
+        if (evaluates) {
             Map<Long, Integer> ours = mIncidents.crashesByPart(mAnswers::last);
             Map<Long, Integer> theirs = mIncidents.crashesByPart(mToldAnswers::last);
             theirs.forEach(
