Tell nodes that start which prompt parts are held back

What callers could see: workers crash again when nodes are replaced or rolled, as a node that starts knows of no crash.

Cause: a crash was told when it happened and never again.

Change: while parts are held back, each node tells two random peers so twice a second, with the time of the last crash; a node that has an answer since then tells the release again. The number of messages grows with the nodes, and there are none while nothing is held back.

The ledger of single requests (CrashLedger) has the same weakness; it is open.

--- a/execution/src/main/java/org/foxtailridge/execution/crash/HeldParts.java
+++ b/execution/src/main/java/org/foxtailridge/execution/crash/HeldParts.java
@@ -1,8 +1,10 @@
 package org.foxtailridge.execution.crash;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.foxtailridge.protocol.crashes.HeldPart;
 
 /**
  * Prompt parts that are held back after crashes.
@@ -53,6 +55,37 @@
         return isNew;
     }
 
+    /** Takes over a hold of another node, unless this node holds the part back for longer. */
+    void merge(HeldPart told, long now) {
+        Hold hold = mHolds.computeIfAbsent(told.getPart(), unused -> new Hold());
+        long until = now + Integer.toUnsignedLong(told.getRemainingMilliseconds());
+        long crash = now - Integer.toUnsignedLong(told.getCrashAgeMilliseconds());
+        hold.mUntilMilliseconds = Math.max(hold.mUntilMilliseconds, until);
+        hold.mCrashMilliseconds = Math.max(hold.mCrashMilliseconds, crash);
+        hold.mTimes = Math.max(hold.mTimes, told.getTimes());
+    }
+
+    /** Returns the holds as other nodes are told of them, at most a number. */
+    List<HeldPart> toMessages(int maximum, long now) {
+        return mHolds.entrySet().stream()
+                .limit(maximum)
+                .map(
+                        entry ->
+                                HeldPart.newBuilder()
+                                        .setPart(entry.getKey())
+                                        .setCrashAgeMilliseconds(
+                                                (int) (now - entry.getValue().mCrashMilliseconds))
+                                        .setRemainingMilliseconds(
+                                                (int)
+                                                        Math.max(
+                                                                0,
+                                                                entry.getValue().mUntilMilliseconds
+                                                                        - now))
+                                        .setTimes(entry.getValue().mTimes)
+                                        .build())
+                .toList();
+    }
+
     /** Releases a part if it was answered since the crash for which it is held back. */
     boolean release(long part, long answerMilliseconds) {
         Hold hold = mHolds.get(part);
--- a/execution/src/main/java/org/foxtailridge/execution/crash/PromptCrashLedger.java
+++ b/execution/src/main/java/org/foxtailridge/execution/crash/PromptCrashLedger.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongPredicate;
@@ -19,6 +20,7 @@
 import org.foxtailridge.core.name.EndpointName;
 import org.foxtailridge.protocol.crashes.AnsweredPart;
 import org.foxtailridge.protocol.crashes.CrashesMessage;
+import org.foxtailridge.protocol.crashes.HeldPart;
 import org.foxtailridge.protocol.crashes.PromptCrash;
 
 /**
@@ -57,6 +59,7 @@
     // About 100 bytes each; the message stays within one datagram.
     private static final int MAXIMUM_CRASHES_OF_MESSAGE = 8;
     private static final int MAXIMUM_ANSWERS_OF_MESSAGE = 30;
+    private static final int MAXIMUM_HOLDS_OF_MESSAGE = 40;
     private static final int TIMES_TOLD = 2;
 
     private final Clock mClock;
@@ -149,6 +152,19 @@
             mToldAnswers.record(answered.getPart(), at);
             recordAnswer(answered.getPart(), at);
         }
+        message.getHeldPartsList().forEach(held -> mergeHold(held, now));
+    }
+
+    /**
+     * Returns what a node that has started meanwhile has to know; empty if nothing is held back. To
+     * be sent to some nodes again and again.
+     */
+    public Optional<CrashesMessage> holds() {
+        if (mHeld.isEmpty()) {
+            return Optional.empty();
+        }
+        List<HeldPart> held = mHeld.toMessages(MAXIMUM_HOLDS_OF_MESSAGE, mClock.millis());
+        return Optional.of(CrashesMessage.newBuilder().addAllHeldParts(held).build());
     }
 
     /**
@@ -200,16 +216,34 @@
         return changed;
     }
 
+    private void mergeHold(HeldPart held, long now) {
+        long crash = now - Integer.toUnsignedLong(held.getCrashAgeMilliseconds());
+        if (mAnswers.last(held.getPart()) > crash) {
+            // The sender has missed the release.
+            mReleasesToTell.put(held.getPart(), 1);
+            return;
+        }
+        boolean isNew = !mHeld.contains(held.getPart());
+        mHeld.merge(held, now);
+        if (isNew) {
+            logHold(held.getPart(), now);
+        }
+    }
+
     private boolean hold(long part, long now) {
         OptionalLong crash = mIncidents.lastCrashMilliseconds(part);
         if (crash.isEmpty() || !mHeld.hold(part, crash.getAsLong(), now)) {
             return false;
         }
+        logHold(part, now);
+        return true;
+    }
+
+    private void logHold(long part, long now) {
         LogEvent.named("prompt_part_held_back")
                 .text("part", Long.toHexString(part))
                 .number("held_back_ms", mHeld.remainingMilliseconds(part, false, now))
                 .writeTo(LOGGER);
-        return true;
     }
 
     /** Returns whether the part was held back until now. */
--- a/execution/src/test/java/org/foxtailridge/execution/crash/DeadlyPromptPartTest.java
+++ b/execution/src/test/java/org/foxtailridge/execution/crash/DeadlyPromptPartTest.java
@@ -81,6 +81,28 @@
         assertThat(fleet.refusedParts()).as("%s crashes", fleet.crashes().size()).isEmpty();
     }
 
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void should_tell_nodes_that_start_which_parts_are_held_back(int seed) {
+        // GIVEN
+        PromptFleet fleet = new PromptFleet(NODES, ENDPOINTS, seed).lossRate(seed % 3 * 0.1);
+        fleet.deadlyShare(0.05);
+        fleet.run(Duration.ofSeconds(20));
+
+        // WHEN all nodes are restarted one after the other
+        long lateSent = 0;
+        for (int node = 0; node < NODES; node++) {
+            fleet.restartNode(node);
+            fleet.run(Duration.ofMillis(CONTACT_MILLISECONDS));
+            int sent = fleet.deadlySent();
+            fleet.run(Duration.ofSeconds(1));
+            lateSent += fleet.deadlySent() - sent;
+        }
+
+        // THEN nodes that have run for a while send no more than may be sent late
+        assertThat(lateSent).isLessThanOrEqualTo(LATE_REQUESTS);
+    }
+
     @Test
     void should_try_a_part_with_single_requests_once_its_time_has_passed() {
         // GIVEN a part that is held back everywhere
--- a/execution/src/test/java/org/foxtailridge/execution/crash/PromptFleet.java
+++ b/execution/src/test/java/org/foxtailridge/execution/crash/PromptFleet.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -23,6 +24,7 @@
 
     private static final Duration STEP = Duration.ofMillis(5);
     private static final long TICK_MILLISECONDS = 100;
+    private static final long HOLDS_MILLISECONDS = 500;
     private static final long RESTART_MILLISECONDS = 3_500;
     private static final int KINDS = 4;
     private static final int DOCUMENTS = 60;
@@ -47,10 +49,7 @@
     PromptFleet(int nodes, int endpoints, long seed) {
         mRandom = new SplittableRandom(seed);
         for (int node = 0; node < nodes; node++) {
-            int sender = node;
-            mLedgers.add(
-                    new PromptCrashLedger(
-                            mClock, message -> broadcast(sender, message), part -> sender == 0));
+            mLedgers.add(ledger(node));
         }
         for (int endpoint = 0; endpoint < endpoints; endpoint++) {
             mEndpoints.add(new Endpoint(mStarts++));
@@ -71,6 +70,16 @@
         mDeadlyShare = share;
     }
 
+    /** Starts a node anew; it knows nothing of what it knew before. */
+    void restartNode(int node) {
+        mLedgers.set(node, ledger(node));
+    }
+
+    /** Returns the number of requests with the deadly part that were sent since the start. */
+    int deadlySent() {
+        return mDeadlySends.size();
+    }
+
     /** Lets endpoints survive the deadly part from now on. */
     void mend() {
         mMended = true;
@@ -90,9 +99,13 @@
             List.copyOf(mRequests).forEach(this::advance);
             mEndpoints.forEach(this::restart);
             for (int node = 0; node < mLedgers.size(); node++) {
-                if ((mClock.millis() + 10L * node) % TICK_MILLISECONDS == 0) {
+                long phase = mClock.millis() + 10L * node;
+                if (phase % TICK_MILLISECONDS == 0) {
                     mLedgers.get(node).tick();
                 }
+                if (phase % HOLDS_MILLISECONDS == 0) {
+                    tellHolds(node);
+                }
             }
         }
     }
@@ -124,12 +137,30 @@
         return share;
     }
 
+    private PromptCrashLedger ledger(int node) {
+        return new PromptCrashLedger(
+                mClock, message -> broadcast(node, message), part -> node == 0);
+    }
+
+    /** Sends what starting nodes have to know to two random nodes, as each node does. */
+    private void tellHolds(int sender) {
+        Optional<CrashesMessage> holds = mLedgers.get(sender).holds();
+        for (int times = 0; times < 2 && holds.isPresent(); times++) {
+            send(mRandom.nextInt(mLedgers.size()), holds.get());
+        }
+    }
+
+    private void send(int receiver, CrashesMessage message) {
+        if (mRandom.nextDouble() >= mLossRate) {
+            long at = mClock.millis() + 1 + mRandom.nextInt(50);
+            mNetwork.add(new Delivery(at, () -> mLedgers.get(receiver).received(message)));
+        }
+    }
+
     private void broadcast(int sender, CrashesMessage message) {
         for (int node = 0; node < mLedgers.size(); node++) {
-            if (node != sender && mRandom.nextDouble() >= mLossRate) {
-                PromptCrashLedger receiver = mLedgers.get(node);
-                long at = mClock.millis() + 1 + mRandom.nextInt(50);
-                mNetwork.add(new Delivery(at, () -> receiver.received(message)));
+            if (node != sender) {
+                send(node, message);
             }
         }
     }
