Report the suspects of a crashed endpoint together, in time and in few messages

What callers could see: a sound request refused for a minute after many connections broke at once.

Cause: each broken request was a report of its own, eight a message and two messages a tick for each report. A thousand broken requests took 25 s to tell, and a report that comes 1.5 s after another of its endpoint counts as a further crash.

Change: a node reports the distinct parts of all suspects of an endpoint together, 20 a report, and leaves out what it could not tell within 0.6 s. The node that tries a part is computed only for a part whose time has passed, not for each request.

Evidence: PromptCrashMessagesTest, a thousand requests at 50 endpoints: both tests fail before. DeadlyPromptPartTest, 202 cases, as before.

--- a/execution/src/main/java/org/foxtailridge/execution/crash/HeldParts.java
+++ b/execution/src/main/java/org/foxtailridge/execution/crash/HeldParts.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongPredicate;
 import org.foxtailridge.protocol.crashes.HeldPart;
 
 /**
@@ -69,20 +70,7 @@
     List<HeldPart> toMessages(int maximum, long now) {
         return mHolds.entrySet().stream()
                 .limit(maximum)
-                .map(
-                        entry ->
-                                HeldPart.newBuilder()
-                                        .setPart(entry.getKey())
-                                        .setCrashAgeMilliseconds(
-                                                (int) (now - entry.getValue().mCrashMilliseconds))
-                                        .setRemainingMilliseconds(
-                                                (int)
-                                                        Math.max(
-                                                                0,
-                                                                entry.getValue().mUntilMilliseconds
-                                                                        - now))
-                                        .setTimes(entry.getValue().mTimes)
-                                        .build())
+                .map(entry -> entry.getValue().toMessage(entry.getKey(), now))
                 .toList();
     }
 
@@ -97,9 +85,9 @@
     /**
      * Returns for how long a part is still held back, in milliseconds; 0 when it may be tried.
      *
-     * @param tries whether this node tries the part when its time has passed
+     * @param tries whether this node tries a part when its time has passed
      */
-    long remainingMilliseconds(long part, boolean tries, long now) {
+    long remainingMilliseconds(long part, LongPredicate tries, long now) {
         Hold hold = mHolds.get(part);
         if (hold == null) {
             return 0;
@@ -107,7 +95,9 @@
         if (now < hold.mUntilMilliseconds) {
             return hold.mUntilMilliseconds - now;
         }
-        return tries ? Math.max(0, hold.mNextTryMilliseconds - now) : TRY_INTERVAL_MILLISECONDS;
+        return tries.test(part)
+                ? Math.max(0, hold.mNextTryMilliseconds - now)
+                : TRY_INTERVAL_MILLISECONDS;
     }
 
     /** Records that a request with the part is sent. */
@@ -132,6 +122,15 @@
             return HOLD_MILLISECONDS << Math.min(mTimes, MAXIMUM_DOUBLINGS);
         }
 
+        private HeldPart toMessage(long part, long now) {
+            return HeldPart.newBuilder()
+                    .setPart(part)
+                    .setCrashAgeMilliseconds((int) (now - mCrashMilliseconds))
+                    .setRemainingMilliseconds((int) Math.max(0, mUntilMilliseconds - now))
+                    .setTimes(mTimes)
+                    .build();
+        }
+
         private long forgottenMilliseconds() {
             return mUntilMilliseconds + REMEMBERED_FACTOR * duration();
         }
--- a/execution/src/main/java/org/foxtailridge/execution/crash/PromptCrashLedger.java
+++ b/execution/src/main/java/org/foxtailridge/execution/crash/PromptCrashLedger.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.execution.crash;
 
+import com.google.common.collect.Iterables;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -56,9 +57,13 @@
     // A node tells of an answer to a part that may have caused this many crashes.
     private static final int CRASHES_TO_TELL_ANSWERS = 2;
     private static final int MAXIMUM_PARTS_OF_REQUEST = 8;
-    // About 100 bytes each; the message stays within one datagram.
-    private static final int MAXIMUM_CRASHES_OF_MESSAGE = 8;
-    private static final int MAXIMUM_ANSWERS_OF_MESSAGE = 30;
+    // About 200 bytes with its endpoint.
+    private static final int MAXIMUM_PARTS_OF_CRASH = 20;
+    // With the answers the message stays within one datagram.
+    private static final int MAXIMUM_CRASHES_OF_MESSAGE = 4;
+    // What is told too late would count as another crash, so that the rest is left out.
+    private static final int MAXIMUM_CRASHES_TO_TELL = 12;
+    private static final int MAXIMUM_ANSWERS_OF_MESSAGE = 25;
     private static final int MAXIMUM_HOLDS_OF_MESSAGE = 40;
     private static final int TIMES_TOLD = 2;
 
@@ -129,7 +134,7 @@
         }
         long now = mClock.millis();
         return hashes(parts).stream()
-                .mapToLong(part -> mHeld.remainingMilliseconds(part, mTries.test(part), now))
+                .mapToLong(part -> mHeld.remainingMilliseconds(part, mTries, now))
                 .max()
                 .orElse(0);
     }
@@ -183,23 +188,32 @@
     }
 
     private void confirmCrashes(long now) {
+        Map<EndpointName, Set<Long>> crashed = new LinkedHashMap<>();
         for (BrokenAttempt doubt : List.copyOf(mDoubts)) {
             if (now - doubt.atMilliseconds() >= CrashLedger.DOUBT_MILLISECONDS) {
                 mDoubts.remove(doubt);
-                PromptCrash crash =
-                        PromptCrash.newBuilder()
-                                .setEndpoint(doubt.endpoint().value())
-                                .addAllParts(doubt.parts())
-                                .build();
-                addIncident(crash, now);
-                mCrashesToTell.put(crash, TIMES_TOLD);
+                crashed.computeIfAbsent(doubt.endpoint(), unused -> new LinkedHashSet<>())
+                        .addAll(doubt.parts());
             }
         }
+        crashed.forEach(
+                (endpoint, parts) ->
+                        Iterables.partition(parts, MAXIMUM_PARTS_OF_CRASH)
+                                .forEach(some -> addOwnCrash(endpoint, some, now)));
+    }
+
+    private void addOwnCrash(EndpointName endpoint, List<Long> parts, long now) {
+        PromptCrash crash =
+                PromptCrash.newBuilder().setEndpoint(endpoint.value()).addAllParts(parts).build();
+        addIncident(crash, now);
+        if (mCrashesToTell.size() < MAXIMUM_CRASHES_TO_TELL) {
+            mCrashesToTell.put(crash, TIMES_TOLD);
+        }
     }
 
     private void addIncident(PromptCrash crash, long now) {
         mEvaluatedUntilMilliseconds = now + EVALUATION_MILLISECONDS;
-        List<Long> parts = crash.getPartsList().stream().limit(MAXIMUM_PARTS_OF_REQUEST).toList();
+        List<Long> parts = crash.getPartsList().stream().limit(MAXIMUM_PARTS_OF_CRASH).toList();
         mIncidents.add(crash.getEndpoint(), parts, now - CrashLedger.DOUBT_MILLISECONDS, now);
     }
 
@@ -242,7 +256,7 @@
     private void logHold(long part, long now) {
         LogEvent.named("prompt_part_held_back")
                 .text("part", Long.toHexString(part))
-                .number("held_back_ms", mHeld.remainingMilliseconds(part, false, now))
+                .number("held_back_ms", mHeld.remainingMilliseconds(part, unused -> false, now))
                 .writeTo(LOGGER);
     }
 
