--- a/review/standin/EndlessEvent.java
+++ b/review/standin/EndlessEvent.java
@@ -12,7 +12,7 @@
 
 /**
  * A model worker answers one stream with bytes that never end an event, in small chunks and without
- * end, until the caller closes. Meanwhile callers ask for plain calls at the same node.
+ * end, until the caller closes. Meanwhile callers send plain calls at the same node.
  */
 public final class EndlessEvent {
     private static final int TIMEOUT_MILLISECONDS = 1_000;
@@ -47,7 +47,7 @@
                 OperatorConfiguration.builder(1)
                         .service("desk", 360)
                         .engines("scribe", 64, List.of("m1"))
-                        .route("lots.example", "/safe/", "desk", "safe", millis(TIMEOUT_MILLISECONDS), 2)
+                        .route("lots.example", "/bid/", "desk", "unsafe", millis(TIMEOUT_MILLISECONDS), 1)
                         .route("lots.example", "/stream/", "scribe", "streaming",
                                 millis(STREAM_TIMEOUT_MILLISECONDS), 1)
                         .account("yard", 0, KEY)
@@ -68,7 +68,7 @@
                     stream.start();
                 }
             }
-            String id = "safe-" + number;
+            String id = "bid-" + number;
             Thread caller = new Thread(() -> call(fleet, id, asked, atTimeout, unanswered));
             caller.setDaemon(true);
             caller.start();
@@ -150,13 +150,13 @@
             Caller.Answer answer =
                     Caller.send(
                             fleet.nodes.get(0).front,
-                            "GET",
-                            "/safe/" + id,
+                            "POST",
+                            "/bid/lot",
                             Map.of(
                                     "X-Request-Id", id,
                                     "X-Deadline-Ms", "" + TIMEOUT_MILLISECONDS,
                                     "Authorization", "Bearer " + KEY),
-                            "",
+                            id,
                             TIMEOUT_MILLISECONDS + LATE_MILLISECONDS);
             if (answer.milliseconds > TIMEOUT_MILLISECONDS) {
                 atTimeout.add(fleet.now());
