--- a/review/standin/EndlessEvent.java
+++ b/review/standin/EndlessEvent.java
@@ -18,7 +18,7 @@
     private static final int TIMEOUT_MILLISECONDS = 1_000;
     private static final int LATE_MILLISECONDS = 500;
     private static final int STREAM_TIMEOUT_MILLISECONDS = 4_000;
-    private static final int CHUNK_BYTES = Integer.getInteger("chunk", 16);
+    private static final int CHUNK_BYTES = Integer.getInteger("chunk", 8);
     private static final String KEY = "key-1";
 
     private EndlessEvent() {}
