--- a/review/build.sh
+++ b/review/build.sh
@@ -8,4 +8,4 @@
 cp standins/target/foxtailridge-standins-*.jar target/standins.jar
 rm -rf target/review
 mkdir -p target/review
-javac -cp target/foxtailridge-node.jar:target/standins.jar -d target/review review/standin/*.java
+javac -cp target/foxtailridge-node.jar:target/standins.jar -d target/review review/*.java review/*/*.java
