Search each byte of an unfinished event once

Cause: EventSplitter.feed copied and searched the whole unfinished event for each chunk, on the event loop that serves everybody.

The splitter now appends to one growing buffer and searches only the bytes that were added, so that the cost of an event is linear in its size.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSplitter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSplitter.java
@@ -25,13 +25,18 @@
 
     /** Adds bytes and returns the events that are now complete, in a buffer to be released. */
     public ByteBuf feed(ByteBuf bytes) {
-        ByteBuf all = Unpooled.buffer(mPartial.readableBytes() + bytes.readableBytes());
-        all.writeBytes(mPartial).writeBytes(bytes);
-        mPartial.release();
-        int end = endOfCompleteEvents(all);
-        ByteBuf complete = all.readRetainedSlice(end);
-        mPartial = all.isReadable() ? all.copy() : Unpooled.EMPTY_BUFFER;
-        all.release();
+        if (mPartial == Unpooled.EMPTY_BUFFER) {
+            mPartial = Unpooled.buffer(bytes.readableBytes());
+        }
+        int searched = mPartial.writerIndex();
+        mPartial.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+        int end = endOfCompleteEvents(mPartial, searched);
+        if (end == 0) {
+            return Unpooled.EMPTY_BUFFER;
+        }
+        ByteBuf complete = mPartial;
+        mPartial = rest(complete, end);
+        complete.writerIndex(end);
         recordLastEventId(complete);
         return complete;
     }
@@ -58,11 +63,20 @@
         takePartial().release();
     }
 
-    private static int endOfCompleteEvents(ByteBuf bytes) {
+    /** Copies what follows the complete events. */
+    private static ByteBuf rest(ByteBuf bytes, int from) {
+        int length = bytes.writerIndex() - from;
+        return length == 0
+                ? Unpooled.EMPTY_BUFFER
+                : Unpooled.buffer(length).writeBytes(bytes, from, length);
+    }
+
+    /** Searches only the bytes that were added last, as those before them end no event. */
+    private static int endOfCompleteEvents(ByteBuf bytes, int searched) {
         int from = bytes.readerIndex();
-        for (int index = bytes.writerIndex() - 1; index > from; index--) {
+        for (int index = bytes.writerIndex() - 1; index >= searched && index > from; index--) {
             if (bytes.getByte(index) == LINE_FEED && isLineEnd(bytes, from, index - 1)) {
-                return index + 1 - from;
+                return index + 1;
             }
         }
         return 0;
