Copy each byte of a caller's body at most once

A caller that sends a long body in small chunks would hold up all other callers of its node. Found by reading, after the same cause in EventSplitter; nobody has reported it.

Cause: IncomingRequest let Netty merge its buffers beyond 128, which copies the whole body for each further 128 chunks, on the event loop.

The newest 128 buffers are now merged into one, whatever came before.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/IncomingRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/IncomingRequest.java
@@ -7,12 +7,14 @@
 
 /** Request of a caller whose body is being aggregated. */
 final class IncomingRequest {
-    // Up to this number the buffers are not copied; Netty merges more of them into one.
-    private static final int MAXIMUM_COMPONENTS = 128;
+    // Number of buffers that are merged into one, so that many small ones take little memory.
+    private static final int MERGED_COMPONENTS = 128;
 
     private final HttpRequest mHead;
     private final long mArrivedMilliseconds;
-    private final CompositeByteBuf mBody = Unpooled.compositeBuffer(MAXIMUM_COMPONENTS);
+    // Without a limit of its own: beyond one, Netty copies the whole body for each buffer.
+    private final CompositeByteBuf mBody = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+    private int mMerged;
 
     IncomingRequest(HttpRequest head, long arrivedMilliseconds) {
         mHead = head;
@@ -39,6 +41,7 @@
         }
         if (content.isReadable()) {
             mBody.addComponent(true, content);
+            mergeNewest();
         } else {
             content.release();
         }
@@ -48,4 +51,12 @@
     void release() {
         mBody.release();
     }
+
+    /** Merges the buffers added since the last merge, so that each byte is copied at most once. */
+    private void mergeNewest() {
+        if (mBody.numComponents() - mMerged == MERGED_COMPONENTS) {
+            mBody.consolidate(mMerged, MERGED_COMPONENTS);
+            mMerged++;
+        }
+    }
 }
