Expect streams to end at their measured pace during a planned stop

Cause: StopRule expected 1 s and 12 ms a token for every stream; these workers were sound and steady at 32 ms a token.

StreamPace measures the slowest recent streams of each model, and StopRule refuses at once, as not run, what would outlive the process at that pace and a quarter more.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -61,6 +61,7 @@
     private ScheduledFuture<?> mAttemptTimer;
     private boolean mFirstTokenReported;
     private int mForwardedParts;
+    private long mFirstPartMilliseconds;
 
     ForwardedRequest(
             Forwarder forwarder,
@@ -269,6 +270,7 @@
             mForwardedParts++;
             mCrashes.partForwarded();
             if (isFirstPart) {
+                mFirstPartMilliseconds = ageMilliseconds();
                 mLog.firstPartForwarded(mResolved);
             }
             reportFirstToken();
@@ -295,6 +297,7 @@
                     mCrashes.succeeded();
                 }
                 mCrashes.answered(mStateMachine.endpoint());
+                recordPace();
                 mAnswerWriter.complete();
                 mStateMachine.answerCompleted();
             }
@@ -328,6 +331,17 @@
         return mCrashes.heldBackMilliseconds() == 0 && mDependencies.retries().take(service);
     }
 
+    private void recordPace() {
+        boolean stream = mResolved.route().kind() == RequestKind.STREAM;
+        if (stream && mAnswerWriter.hasStarted()) {
+            mForwarder.pace().record(mResolved, mFirstPartMilliseconds, ageMilliseconds());
+        }
+    }
+
+    private long ageMilliseconds() {
+        return mDependencies.clock().millis() - mResolved.arrivedMilliseconds();
+    }
+
     private void bufferAnswer() {
         if (mBufferedAnswer != null) {
             mBufferedAnswer.release();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -64,6 +64,7 @@
     private final Map<String, ForwardedRequest> mRequests = new HashMap<>();
     private final ForwardedDemand mDemand;
     private final RetryAfterRule mRetryAfter;
+    private final StreamPace mPace;
     private RequestScheduler mScheduler;
     private long mNextRunNumber;
     private Optional<StopRule> mStopRule = Optional.empty();
@@ -84,6 +85,7 @@
         mConfiguration = Objects.requireNonNull(configuration, "configuration");
         mDemand = new ForwardedDemand(dependencies.clock());
         mRetryAfter = new RetryAfterRule(dependencies.random());
+        mPace = new StreamPace(dependencies.clock());
     }
 
     /** Sets the queue; must be called before the first request. */
@@ -104,7 +106,8 @@
      *     that are not expected to end before are refused
      */
     public void stop(Instant acceptAllUntil, Instant end) {
-        mStopRule = Optional.of(new StopRule(acceptAllUntil.toEpochMilli(), end.toEpochMilli()));
+        mStopRule =
+                Optional.of(new StopRule(acceptAllUntil.toEpochMilli(), end.toEpochMilli(), mPace));
     }
 
     /** Returns the number of accepted requests that have not ended. */
@@ -291,6 +294,10 @@
         mScheduler.attemptEnded(attempt.attemptId(), outcome, events);
     }
 
+    StreamPace pace() {
+        return mPace;
+    }
+
     void firstTokenArrived(Attempt attempt) {
         mScheduler.firstTokenArrived(attempt.attemptId());
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/StopRule.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/StopRule.java
@@ -12,15 +12,9 @@
  * another node.
  */
 final class StopRule {
-    // An engine with a full batch takes about 8 ms per token, plus prefill of other prompts.
-    private static final long MILLISECONDS_PER_TOKEN = 12;
-    // Assumed time from the arrival of a request to its first event.
-    private static final long FIRST_EVENT_MILLISECONDS = 1_000;
-    // Assumed length of the answer if a stream states no maximum.
-    private static final int DEFAULT_OUTPUT_TOKENS = 1_000;
-
     private final long mAcceptAllUntilMilliseconds;
     private final long mEndMilliseconds;
+    private final StreamPace mPace;
 
     /**
      * Creates a rule.
@@ -28,10 +22,12 @@
      * @param acceptAllUntilMilliseconds instant until which every request is accepted, as callers
      *     cannot know of the stop yet, in milliseconds since the epoch
      * @param endMilliseconds latest instant of the process's exit, in milliseconds since the epoch
+     * @param pace measured pace of streams
      */
-    StopRule(long acceptAllUntilMilliseconds, long endMilliseconds) {
+    StopRule(long acceptAllUntilMilliseconds, long endMilliseconds, StreamPace pace) {
         mAcceptAllUntilMilliseconds = acceptAllUntilMilliseconds;
         mEndMilliseconds = endMilliseconds;
+        mPace = pace;
     }
 
     /**
@@ -45,12 +41,11 @@
                 || expectedEndMilliseconds(resolved, now) <= mEndMilliseconds;
     }
 
-    private static long expectedEndMilliseconds(ResolvedRequest resolved, long now) {
+    private long expectedEndMilliseconds(ResolvedRequest resolved, long now) {
         if (resolved.route().kind() != RequestKind.STREAM) {
             return resolved.deadlineMilliseconds();
         }
-        long tokens = resolved.metadata().maximumOutputTokens().orElse(DEFAULT_OUTPUT_TOKENS);
-        long expected = now + FIRST_EVENT_MILLISECONDS + tokens * MILLISECONDS_PER_TOKEN;
+        long expected = now + mPace.expectedMilliseconds(resolved);
         return Math.min(resolved.deadlineMilliseconds(), expected);
     }
 }
