Let the held reads of a small fleet end in turn

Cause: a node learns of edits by one read that the store holds open for 4 s. Each edit put the reads of all nodes in phase, one short silence lost all of them, and nobody noticed before their timeout of 4.8 s.

Each node now ends its reads in a slot of its own, and reads again at once after a held read was lost; it informs the others as before.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeMembership.java
@@ -127,6 +127,10 @@
         mMembership.leave();
     }
 
+    NodeName self() {
+        return mSettings.name();
+    }
+
     /** Returns the other nodes that are live or suspected, but not known to be dead. */
     List<NodeName> peers() {
         return mPeers;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
@@ -44,6 +44,7 @@
     private Optional<ForwardingConfiguration> mInForce = Optional.empty();
     private Optional<NodeDigests> mDigests = Optional.empty();
     private ReadTimings mTimings = ReadTimings.DIRECT;
+    private List<NodeName> mSlotPeers = List.of();
     private boolean mLogAvailable = true;
 
     NodeStreams(
@@ -163,15 +164,28 @@
             boolean collector = mDigests.filter(NodeDigests::isCollector).isPresent();
             timings = collector ? ReadTimings.READER : ReadTimings.RELAYED;
         }
+        updateSlot(timings);
         if (timings != mTimings) {
             mTimings = timings;
-            mConfigurations.use(timings.configuration());
             mEndpoints.use(timings.endpoints());
             mNodeRecords.use(timings.nodes());
             LogEvent.named("log_reading_changed").text("role", timings).writeTo(LOGGER);
         }
     }
 
+    /** Updates when reads of the configuration end, after a change of the role or of the peers. */
+    private void updateSlot(ReadTimings timings) {
+        List<NodeName> peers = mMembers.peers();
+        if (timings == mTimings && peers.equals(mSlotPeers)) {
+            return;
+        }
+        mSlotPeers = peers;
+        mConfigurations.use(
+                timings == ReadTimings.DIRECT
+                        ? StaggeredReads.of(timings.configuration(), mMembers.self(), peers)
+                        : timings.configuration());
+    }
+
     private void sendToReporters(long fromOffset, KeyedBatch batch) {
         mRelay.sendDelta(KeyedStream.ENDPOINTS, fromOffset, batch, otherReporters());
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamFollower.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamFollower.java
@@ -164,7 +164,7 @@
     private void startRead(long now) {
         long fromOffset = mState.nextOffset();
         boolean poll = mReadNewest || mLogFailed;
-        Duration timeout = poll ? Duration.ZERO : mTimings.longPollTimeout();
+        Duration timeout = poll ? Duration.ZERO : mTimings.longPollTimeout(now);
         CompletableFuture<KeyedBatch> answer =
                 mReadNewest ? mLog.newest(mStream) : mLog.read(mStream, fromOffset, timeout);
         ReadInFlight read = new ReadInFlight(answer, mReadNewest, fromOffset, timeout, now);
@@ -181,7 +181,9 @@
         if (failure != null) {
             FoxtailridgeException cause = FoxtailridgeException.from(failure);
             mReadNewest |= cause instanceof RecordsDeletedException;
-            boolean retryAtOnce = cause instanceof RecordsDeletedException;
+            // A held read that was lost does not show that the log is unavailable now.
+            boolean retryAtOnce =
+                    cause instanceof RecordsDeletedException || !read.longPollTimeout().isZero();
             mNextReadMilliseconds =
                     mClock.millis() + (retryAtOnce ? 0 : mTimings.retryBackoff().toMillis());
             mListener.failed(cause);
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/relay/InformedFollowerTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/relay/InformedFollowerTest.java
@@ -196,10 +196,10 @@
                             KeyedStream.ENDPOINTS,
                             this,
                             new FollowerTimings(
-                                    Duration.ZERO,
-                                    Duration.ofMillis(500),
-                                    Duration.ofMillis(250),
-                                    relayedAge),
+                                            Duration.ZERO,
+                                            Duration.ofMillis(500),
+                                            Duration.ofMillis(250))
+                                    .relayedUpTo(relayedAge),
                             mClock,
                             this);
             mRelay =
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/stream/EditAfterSilenceTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/stream/EditAfterSilenceTest.java
@@ -60,6 +60,22 @@
         assertThat(mEdits.values()).containsKey(EDIT.key());
     }
 
+    @Test
+    void should_read_at_once_when_a_held_read_was_lost() {
+        // GIVEN a silence between two reads of the other stream, which loses the held read only
+        run(Duration.ofMillis(1_200));
+        mLog.setSilent(true);
+        run(Duration.ofMillis(60));
+        mLog.setSilent(false);
+        mLog.append(EDIT);
+
+        // WHEN the held read reaches its timeout of 4.8 s
+        run(Duration.ofMillis(3_700));
+
+        // THEN
+        assertThat(mEdits.values()).containsKey(EDIT.key());
+    }
+
     @Test
     void should_let_the_log_hold_reads_open_again_once_it_answers() {
         // GIVEN
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/stream/SilentLog.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/stream/SilentLog.java
@@ -12,7 +12,7 @@
  * Log that holds reads open until a record arrives and that can fall silent: it then loses the
  * reads that it holds and those that it receives, which end at their timeout.
  */
-final class SilentLog implements KeyedLog {
+public final class SilentLog implements KeyedLog {
     /** Time beyond its wait after which a read without an answer fails. */
     static final Duration ANSWER_TIME = Duration.ofMillis(800);
 
@@ -22,21 +22,24 @@
     private boolean mSilent;
     private int mReceived;
 
-    SilentLog(ManualClock clock) {
+    /** Creates a log that answers. */
+    public SilentLog(ManualClock clock) {
         mClock = clock;
     }
 
-    void append(KeyedRecord entry) {
+    /** Appends a record. */
+    public void append(KeyedRecord entry) {
         mRecords.add(entry);
     }
 
-    void setSilent(boolean silent) {
+    /** Falls silent, and loses the reads that it holds; or answers again. */
+    public void setSilent(boolean silent) {
         mSilent = silent;
         mHeld.forEach(read -> read.mLost |= silent);
     }
 
     /** Returns the number of reads that were received so far. */
-    int received() {
+    public int received() {
         return mReceived;
     }
 
@@ -46,7 +49,7 @@
     }
 
     /** Answers the reads that are due. */
-    void tick() {
+    public void tick() {
         for (HeldRead read : List.copyOf(mHeld)) {
             Duration age = Duration.ofMillis(mClock.millis() - read.mSinceMilliseconds);
             boolean due = mRecords.size() > read.mFrom || age.compareTo(read.mWait) >= 0;
