Keep the bytes of one answer away from the next one

The status line of the next answer was then read as one of its headers, so that the next answer kept its identifier, signature and body under the status of the late one. An answer without an identifier was accepted as well, such as a refusal that a worker wrote once more.

Bytes without an exchange, or behind an answer, now close the connection undecoded; a head that holds two status lines, or that names no request, fails the exchange as one that may have run. Without this 15 of 36 cases of EndpointConnectionTest fail.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -17,6 +17,7 @@
 import org.foxtailridge.forwarding.configuration.ForwardingAccount;
 import org.foxtailridge.forwarding.configuration.RequestKind;
 import org.foxtailridge.forwarding.endpoint.EndpointAnnouncement;
+import org.foxtailridge.forwarding.http.AnswerMatch;
 import org.foxtailridge.forwarding.http.AnswerOutcome;
 import org.foxtailridge.forwarding.http.AttemptParameters;
 import org.foxtailridge.forwarding.http.CallerExchange;
@@ -250,8 +251,8 @@
     }
 
     @Override
-    public boolean matches(HttpResponse head) {
-        return mDependencies.dialect().isAnswerTo(head, mResolved.metadata().requestId());
+    public AnswerMatch match(HttpResponse head) {
+        return mDependencies.dialect().match(head, mResolved.metadata().requestId());
     }
 
     @Override
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/AnswerHeads.java
@@ -0,0 +1,37 @@
+package org.foxtailridge.forwarding.http;
+
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Detects heads that are joined from two answers: an endpoint broke off inside a head and went on
+ * with another one.
+ */
+final class AnswerHeads {
+    private static final String PROTOCOL = "HTTP";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}( |$)");
+    private static final int VALID = -1;
+
+    private AnswerHeads() {}
+
+    /** Returns whether no second status line follows the first, inside a line or as a header. */
+    static boolean isOfOneAnswer(HttpResponse head) {
+        if (!head.protocolVersion().protocolName().equals(PROTOCOL)
+                || containsStatusLine(head.status().reasonPhrase())) {
+            return false;
+        }
+        for (Map.Entry<String, String> header : head.headers()) {
+            boolean validName = HttpHeaderValidationUtil.validateToken(header.getKey()) == VALID;
+            if (!validName || containsStatusLine(header.getValue())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean containsStatusLine(String text) {
+        return STATUS_LINE.matcher(text).find();
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointAnswerDecoder.java
@@ -0,0 +1,58 @@
+package org.foxtailridge.forwarding.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Decoder of the answers on a connection to an endpoint, which carries one exchange at a time.
+ *
+ * <p>It keeps no byte from one exchange to the next: the start of a late answer would otherwise be
+ * joined with the next answer, which could take over its status. Bytes that arrive without an
+ * exchange close the connection, and {@link #hasUndecodedBytes} tells of bytes behind an answer.
+ */
+final class EndpointAnswerDecoder extends HttpResponseDecoder {
+    private boolean mExpectsAnswer;
+    private boolean mHeadOnly;
+
+    EndpointAnswerDecoder(HttpDecoderConfig config) {
+        super(config);
+    }
+
+    /**
+     * Starts an exchange.
+     *
+     * @param headOnly whether the answer has no body whatever its head states
+     */
+    void expectAnswer(boolean headOnly) {
+        mExpectsAnswer = true;
+        mHeadOnly = headOnly;
+    }
+
+    /** Ends the exchange. */
+    void expectNothing() {
+        mExpectsAnswer = false;
+    }
+
+    /** Returns whether bytes have arrived that belong to no decoded message. */
+    boolean hasUndecodedBytes() {
+        return actualReadableBytes() > 0;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (mExpectsAnswer) {
+            super.channelRead(context, message);
+        } else {
+            ReferenceCountUtil.release(message);
+            context.close();
+        }
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return mHeadOnly || super.isContentAlwaysEmpty(message);
+    }
+}
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -5,9 +5,13 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -23,9 +27,10 @@
  * Connection to an endpoint: the last handler of its channel's pipeline. It carries one exchange at
  * a time. Confined to the channel's event loop.
  *
- * <p>Bytes that arrive without an exchange close the connection. An answer to an earlier exchange
- * is skipped, and the connection is not reused. A body that is not framed ends with the connection,
- * and is complete only when the endpoint closes the connection without a reset.
+ * <p>Bytes that arrive without an exchange, or behind an answer, close the connection. An answer to
+ * an earlier exchange is skipped, and the connection is not reused. An answer that does not state
+ * its request fails the exchange. A body that is not framed ends with the connection, and is
+ * complete only when the endpoint closes the connection without a reset.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOGGER = LogManager.getLogger(EndpointConnection.class);
@@ -36,6 +41,7 @@
     private static final long IDLE_MARGIN_MILLISECONDS = 300;
 
     private final Owner mOwner;
+    private EndpointAnswerDecoder mDecoder;
     private final long mDefaultIdleTimeoutMilliseconds;
     private Channel mChannel;
     private ExchangeListener mListener;
@@ -60,9 +66,16 @@
         mIdleTimeoutMilliseconds = defaultIdleTimeoutMilliseconds;
     }
 
+    /** Adds the handlers of this connection to the pipeline of its channel. */
+    void addTo(ChannelPipeline pipeline, HttpDecoderConfig config) {
+        mDecoder = new EndpointAnswerDecoder(config);
+        pipeline.addLast(new HttpRequestEncoder(), mDecoder, this);
+    }
+
     /** Sends a request; the connection must be open and idle. */
     void start(FullHttpRequest request, ExchangeListener listener) {
         mListener = listener;
+        mDecoder.expectAnswer(request.method().equals(HttpMethod.HEAD));
         mHead = null;
         mSkipping = false;
         mRequestWritten = mChannel.writeAndFlush(request);
@@ -138,15 +151,18 @@
     }
 
     private void readHead(HttpResponse head) {
-        if (head.decoderResult().isFailure()) {
-            fail("the answer has no readable head");
-            mChannel.close();
+        if (head.decoderResult().isFailure() || !AnswerHeads.isOfOneAnswer(head)) {
+            failAndClose("the answer has no readable head");
             return;
         }
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean unmatched = !interim && !mListener.matches(head);
-        mUnmatchedAnswer |= unmatched;
-        mSkipping = interim || unmatched;
+        AnswerMatch match = interim ? AnswerMatch.OTHER_REQUEST : mListener.match(head);
+        if (match == AnswerMatch.UNIDENTIFIED) {
+            failAndClose("an answer with status " + head.status().code() + " names no request");
+            return;
+        }
+        mSkipping = match == AnswerMatch.OTHER_REQUEST;
+        mUnmatchedAnswer |= mSkipping && !interim;
         if (!mSkipping) {
             mHead = head;
             mListener.head(head);
@@ -155,8 +171,7 @@
 
     private void readContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            fail("the answer has no readable body");
-            mChannel.close();
+            failAndClose("the answer has no readable body");
             return;
         }
         boolean last = content instanceof LastHttpContent;
@@ -184,10 +199,12 @@
         boolean reusable =
                 framed
                         && !mUnmatchedAnswer
+                        && !mDecoder.hasUndecodedBytes()
                         && HttpUtil.isKeepAlive(mHead)
                         && mRequestWritten.isDone()
                         && mChannel.isActive();
         if (reusable) {
+            mDecoder.expectNothing();
             mChannel.config().setAutoRead(true);
             mIdleTimeoutMilliseconds = idleTimeoutMilliseconds();
             mOwner.becameIdle(this);
@@ -217,6 +234,11 @@
         return Math.max(0, seconds * MILLISECONDS_PER_SECOND - IDLE_MARGIN_MILLISECONDS);
     }
 
+    private void failAndClose(String reason) {
+        fail(reason);
+        mChannel.close();
+    }
+
     private void fail(String reason) {
         ExchangeListener listener = mListener;
         mListener = null;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnections.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnections.java
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.time.Clock;
 import java.util.ArrayDeque;
@@ -109,14 +108,12 @@
         return mOpened;
     }
 
-    private HttpClientCodec codec() {
-        HttpDecoderConfig config =
-                new HttpDecoderConfig()
-                        .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
-                        .setMaxHeaderSize(mSettings.maximumHeadBytes())
-                        .setMaxChunkSize(MAXIMUM_CHUNK_BYTES)
-                        .setValidateHeaders(false);
-        return new HttpClientCodec(config, false, false);
+    private HttpDecoderConfig decoderConfig() {
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
+                .setMaxHeaderSize(mSettings.maximumHeadBytes())
+                .setMaxChunkSize(MAXIMUM_CHUNK_BYTES)
+                .setValidateHeaders(false);
     }
 
     private final class Pool implements EndpointConnection.Owner {
@@ -162,7 +159,7 @@
                                     new ChannelInitializer<SocketChannel>() {
                                         @Override
                                         protected void initChannel(SocketChannel channel) {
-                                            channel.pipeline().addLast(codec(), connection);
+                                            connection.addTo(channel.pipeline(), decoderConfig());
                                         }
                                     })
                             .connect(mAddress.toSocketAddress());
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointExchange.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointExchange.java
@@ -61,8 +61,8 @@
     }
 
     @Override
-    public boolean matches(HttpResponse head) {
-        return mListener.matches(head);
+    public AnswerMatch match(HttpResponse head) {
+        return mListener.match(head);
     }
 
     @Override
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/ExchangeListener.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/ExchangeListener.java
@@ -9,8 +9,8 @@
  * #complete} and {@link #failed} is the last call, unless the exchange is cancelled.
  */
 public interface ExchangeListener {
-    /** Returns whether an answer is to this exchange's request; any other is skipped. */
-    boolean matches(HttpResponse head);
+    /** Returns whether an answer is to this exchange's request. */
+    AnswerMatch match(HttpResponse head);
 
     /** The status line and the headers of the answer have arrived. */
     void head(HttpResponse head);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/HttpCalls.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/HttpCalls.java
@@ -97,8 +97,8 @@
         }
 
         @Override
-        public boolean matches(HttpResponse head) {
-            return true;
+        public AnswerMatch match(HttpResponse head) {
+            return AnswerMatch.OWN;
         }
 
         @Override
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/RequestDialect.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/RequestDialect.java
@@ -17,8 +17,12 @@
     /** Returns the headers to send to an endpoint, without those that frame the body. */
     HttpHeaders headersToEndpoint(HttpRequest head, AttemptParameters parameters);
 
-    /** Returns whether an answer is to the request with the given identifier. */
-    boolean isAnswerTo(HttpResponse head, String requestId);
+    /**
+     * Returns whether an answer is to a request.
+     *
+     * @param requestId identifier that the caller gave the request; empty if it gave none
+     */
+    AnswerMatch match(HttpResponse head, String requestId);
 
     /** Returns the outcome that the head of an endpoint's answer states. */
     AnswerOutcome outcomeOf(HttpResponse head);
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
+import org.foxtailridge.forwarding.http.AnswerMatch;
 import org.foxtailridge.forwarding.http.AnswerOutcome;
 import org.foxtailridge.forwarding.http.AttemptParameters;
 import org.foxtailridge.forwarding.http.CallerExchange;
@@ -76,8 +77,8 @@
         }
 
         @Override
-        public boolean isAnswerTo(HttpResponse head, String requestId) {
-            return true;
+        public AnswerMatch match(HttpResponse head, String requestId) {
+            return AnswerMatch.OWN;
         }
 
         @Override
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/EndpointConnectionTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/EndpointConnectionTest.java
@@ -6,7 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.foxtailridge.forwarding.request.AttemptFailure;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -45,8 +46,12 @@
                         }
                     },
                     4_000);
-    private final EmbeddedChannel mChannel =
-            new EmbeddedChannel(new HttpClientCodec(), mConnection);
+    private final EmbeddedChannel mChannel = new EmbeddedChannel();
+
+    @BeforeEach
+    void connect() {
+        mConnection.addTo(mChannel.pipeline(), new HttpDecoderConfig().setValidateHeaders(false));
+    }
 
     @Test
     void should_become_idle_after_a_complete_answer() {
@@ -121,6 +126,70 @@
         assertThat(mEvents).doesNotContain("complete").contains("failed BROKEN");
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 O",
+                "HTTP/1.1 200 OK\r\nSeal: s",
+                "HTTP/1.1 200 OK\r\nSeal: s\r\n",
+                "HTTP/1.1 200 OK\r\nSeal",
+                "HTTP/1.1 200 OK\r\nId",
+                "HT",
+            })
+    void should_not_join_the_start_of_a_late_answer_with_its_own(String start) {
+        // WHEN the start of another answer arrives before the answer, which is a failure
+        start();
+        receive(start);
+        receive("HTTP/1.1 500 Failed\r\nId: own\r\nContent-Length: 2\r\n\r\nno");
+        mChannel.close();
+
+        // THEN it does not become a success
+        assertThat(mEvents).doesNotContain("head 200", "complete").contains("failed BROKEN");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\n", "H", "\r\n", OTHER_ANSWER})
+    void should_close_when_any_byte_arrives_without_a_request(String bytes) {
+        start();
+        receive(MATCHING_ANSWER);
+        receive(bytes);
+        assertThat(mChannel.isActive()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\n", "H", "\r\n", OTHER_ANSWER})
+    void should_not_be_reused_when_any_byte_follows_a_complete_answer(String bytes) {
+        start();
+        receive(MATCHING_ANSWER + bytes);
+        assertThat(mEvents).containsExactly("head 200", "ok", "complete");
+        assertThat(mPoolEvents).containsExactly("closed");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                "HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno",
+            })
+    void should_fail_when_an_answer_names_no_request(String answer) {
+        start();
+        receive(answer + MATCHING_ANSWER);
+        assertThat(mEvents).containsExactly("failed BROKEN");
+        assertThat(mChannel.isActive()).isFalse();
+    }
+
+    @Test
+    void should_read_the_answer_to_a_request_for_the_head_only() {
+        mConnection.start(
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.HEAD, "/"),
+                new Recorder());
+        mChannel.releaseOutbound();
+        receive("HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\n");
+        assertThat(mEvents).containsExactly("head 200", "complete");
+        assertThat(mPoolEvents).containsExactly("free");
+    }
+
     @Test
     void should_skip_an_interim_answer() {
         start();
@@ -169,8 +238,12 @@
 
     private final class Recorder implements ExchangeListener {
         @Override
-        public boolean matches(HttpResponse head) {
-            return !"other".equals(head.headers().get("Id"));
+        public AnswerMatch match(HttpResponse head) {
+            String id = head.headers().get("Id", "");
+            if (id.isEmpty()) {
+                return AnswerMatch.UNIDENTIFIED;
+            }
+            return id.equals("own") ? AnswerMatch.OWN : AnswerMatch.OTHER_REQUEST;
         }
 
         @Override
--- a/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
@@ -148,6 +148,7 @@
     private void receive(Exchange exchange) {
         Optional<String> expected = exchange.header("X-Expect-Instance");
         if (expected.isPresent() && !expected.get().equals(mSettings.mId)) {
+            exchange.header(REQUEST_ID).ifPresent(id -> exchange.answerHeader(REQUEST_ID, id));
             exchange.answerHeader("X-Instance-Id", mSettings.mId)
                     .answer(421, new WorkerMessages.Answer("another worker"));
             return;
@@ -207,6 +208,7 @@
     }
 
     private static void reject(Exchange exchange, int status) {
+        exchange.header(REQUEST_ID).ifPresent(id -> exchange.answerHeader(REQUEST_ID, id));
         exchange.answerHeader(NOT_RUN, "1").answer(status, new WorkerMessages.Answer("not run"));
     }
 
