Break a stream off when the next endpoint can't continue it

Cause: AnswerWriter.complete ended the answer with what the last attempt had answered, without regard to what an earlier one had begun.

Only events may follow events now; any other end is a failed answer, so that the caller's connection closes without an end. PlatformPathTest fails without this: 20 events, the error's text and a complete body.

--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/PlatformPathTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/PlatformPathTest.java
@@ -122,6 +122,25 @@
         }
     }
 
+    @Test
+    void should_not_end_a_stream_with_the_error_of_the_worker_that_was_to_go_on() {
+        // GIVEN a worker that breaks streams off and one that rejects to go on with them
+        sFleet.engines().get(0).setFaults(WorkerFaults.none().withCutInsideAnswer(1));
+        sFleet.engines().get(1).setFaults(WorkerFaults.none().withRejecting(1));
+        for (int number = 0; runsOf("rejected " + (number - 1)) != 2; number++) {
+            String body = "rejected " + number;
+            // WHEN
+            CompletableFuture<CallerAnswer> answer = sFleet.stream(sFleet.node(0), "m1", body);
+            answer.exceptionally(brokenOff -> null).join();
+            // THEN it is broken off or whole, and never complete with something else
+            if (!answer.isCompletedExceptionally()) {
+                assertThat(answer.join().body())
+                        .isEqualTo(WorkerStandin.eventsOf(body, 0, PlatformFleet.EVENTS));
+            }
+            assertThat(number).as("streams until one meets the faulty worker").isLessThan(100);
+        }
+    }
+
     @Test
     void should_try_another_worker_when_one_is_full_and_run_once() {
         // GIVEN
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
@@ -36,6 +36,8 @@
     private HttpResponse mHead;
     private AnswerOutcome mOutcome;
     private boolean mStarted;
+    // Whether what was forwarded so far are events, which only further events may follow.
+    private boolean mStartedWithEvents;
     private boolean mForwardsEvents;
     private boolean mHasEventOfAttempt;
     private String mLastEventId;
@@ -82,6 +84,15 @@
                 || mBuffered.readableBytes() > MAXIMUM_EVENT_BYTES;
     }
 
+    /**
+     * Returns whether the current attempt would end the answer to the caller, but can't: a part of
+     * an earlier attempt was forwarded, and only the events of another one may follow events.
+     */
+    boolean contradictsStart() {
+        boolean ends = isSuccess() || mOutcome == AnswerOutcome.REJECTION;
+        return mStarted && ends && !(mStartedWithEvents && mForwardsEvents);
+    }
+
     AnswerOutcome outcome() {
         return mOutcome;
     }
@@ -164,6 +175,7 @@
 
     private void startAnswer(OptionalLong length) {
         mStarted = true;
+        mStartedWithEvents = mForwardsEvents;
         mCaller.begin(
                 mHead.status().code(),
                 mHead.status().reasonPhrase(),
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -258,6 +258,10 @@
     @Override
     public void head(HttpResponse head) {
         AnswerOutcome outcome = mAnswerWriter.head(head);
+        if (mAnswerWriter.contradictsStart()) {
+            mStateMachine.attemptFailed(AttemptFailure.FAILED_ANSWER, false);
+            return;
+        }
         if (outcome == AnswerOutcome.SUCCESS) {
             cancel(mAttemptTimer);
         }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
@@ -56,6 +56,32 @@
         assertThat(mWriter.isBrokenOff()).isEqualTo(expected);
     }
 
+    @ParameterizedTest(name = "{0}, {1}: {2}")
+    @CsvSource({
+        "200, text/event-stream, false",
+        "200, text/plain, true",
+        "404, text/plain, true",
+        "404, text/event-stream, true",
+        "500, text/plain, false",
+        "503, text/plain, false",
+    })
+    void should_go_on_only_with_events_once_events_were_forwarded(
+            int status, String type, boolean expected) {
+        // GIVEN a stream that began and broke off
+        mWriter.head(head(FRAMED));
+        mWriter.content(Unpooled.copiedBuffer("id: 1\n\n", StandardCharsets.UTF_8));
+
+        // WHEN the next endpoint answers; a failure or a refusal does not end the answer
+        mWriter.head(
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(status),
+                        new DefaultHttpHeaders().set("Content-Type", type)));
+
+        // THEN
+        assertThat(mWriter.contradictsStart()).isEqualTo(expected);
+    }
+
     private static HttpResponse head(String header) {
         String[] field = header.split(": ");
         HttpHeaders headers =
@@ -83,7 +109,12 @@
 
         @Override
         public AnswerOutcome outcomeOf(HttpResponse head) {
-            return AnswerOutcome.SUCCESS;
+            return switch (head.status().code()) {
+                case 200 -> AnswerOutcome.SUCCESS;
+                case 404 -> AnswerOutcome.REJECTION;
+                case 500 -> AnswerOutcome.FAILURE;
+                default -> AnswerOutcome.FULL;
+            };
         }
 
         @Override
--- a/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
@@ -191,6 +191,9 @@
         if (mFaults.failing() > 0) {
             mFaults = mFaults.withFailing(mFaults.failing() - 1);
             exchange.answer(500, new WorkerMessages.Answer("failed"));
+        } else if (mFaults.rejecting() > 0 && execution.resumedAfter().isPresent()) {
+            mFaults = mFaults.withRejecting(mFaults.rejecting() - 1);
+            exchange.answer(404, new WorkerMessages.Answer("rejected"));
         } else if (model.isPresent()) {
             stream(exchange, execution);
         } else {
