Continue periodic work after an error

An error that is no exception, such as a stack overflow on an odd message, ended all periodic work of a node, which went on to say that it was ready.

Cause: PeriodicTasks caught exceptions only, and its next wake-up was scheduled after the tasks. Errors are caught and logged now; the case of PeriodicTasksTest runs once instead of four times without this. What fails while a read of the log is handled was dropped silently and is logged now; that the follower reads on was so before and has a test.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/PeriodicTasks.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/PeriodicTasks.java
@@ -76,7 +76,8 @@
             mLastRunMilliseconds = now;
             try {
                 mAction.run();
-            } catch (RuntimeException defect) {
+            } catch (RuntimeException | Error defect) {
+                // An error would otherwise end all periodic work of a node that appears ready.
                 LOGGER.error("a periodic task failed; it runs again after its interval", defect);
             }
         }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamFollower.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/stream/StreamFollower.java
@@ -7,6 +7,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.foxtailridge.core.error.FoxtailridgeException;
 
 /**
@@ -25,6 +27,7 @@
  * }</pre>
  */
 public final class StreamFollower {
+    private static final Logger LOGGER = LogManager.getLogger(StreamFollower.class);
     private static final long NEVER = -1;
 
     private final KeyedStream mStream;
@@ -169,7 +172,16 @@
                 mReadNewest ? mLog.newest(mStream) : mLog.read(mStream, fromOffset, timeout);
         ReadInFlight read = new ReadInFlight(answer, mReadNewest, fromOffset, timeout, now);
         mReadInFlight = Optional.of(read);
-        answer.whenComplete((batch, failure) -> onReadEnded(read, batch, failure));
+        answer.handle(
+                        (batch, failure) -> {
+                            onReadEnded(read, batch, failure);
+                            return null;
+                        })
+                .exceptionally(
+                        defect -> {
+                            LOGGER.error("could not handle a read of {}", mStream, defect);
+                            return null;
+                        });
     }
 
     private void onReadEnded(ReadInFlight read, KeyedBatch batch, Throwable failure) {
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/node/PeriodicTasksTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/node/PeriodicTasksTest.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.foxtailridge.core.time.ManualClock;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards the intervals of periodic work, and that one failing task stops no other. */
 class PeriodicTasksTest {
@@ -42,8 +42,9 @@
         assertThat(runs.get()).isEqualTo(expectedInOneSecond);
     }
 
-    @Test
-    void should_run_all_tasks_after_one_has_failed() {
+    @ParameterizedTest
+    @ValueSource(classes = {IllegalStateException.class, StackOverflowError.class})
+    void should_run_all_tasks_after_one_has_failed(Class<? extends Throwable> kind) {
         // GIVEN
         AtomicInteger failing = new AtomicInteger();
         AtomicInteger working = new AtomicInteger();
@@ -51,7 +52,7 @@
                 50,
                 () -> {
                     failing.incrementAndGet();
-                    throw new IllegalStateException("expected by the test");
+                    throwUnchecked(kind);
                 });
         mTasks.add(50, working::incrementAndGet);
         mTasks.start();
@@ -64,6 +65,13 @@
         assertThat(working.get()).isEqualTo(4);
     }
 
+    private static void throwUnchecked(Class<? extends Throwable> kind) {
+        if (kind == StackOverflowError.class) {
+            throw new StackOverflowError("expected by the test");
+        }
+        throw new IllegalStateException("expected by the test");
+    }
+
     private void run(long milliseconds) {
         for (long passed = 0; passed < milliseconds; passed += 10) {
             mClock.advance(Duration.ofMillis(10));
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/stream/StreamFollowerTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/stream/StreamFollowerTest.java
@@ -17,6 +17,7 @@
     private final ManualClock mClock = ManualClock.atEpoch();
     private final FakeLog mLog = new FakeLog();
     private final List<String> mEvents = new ArrayList<>();
+    private boolean mFailing;
     private final StreamFollower mFollower =
             new StreamFollower(
                     KeyedStream.CONFIGURATION,
@@ -60,6 +61,22 @@
         assertThat(mFollower.values()).containsOnlyKeys("k");
     }
 
+    @Test
+    void should_read_on_after_its_listener_has_failed() {
+        // GIVEN
+        mLog.append(entry("k", "1"));
+        mFailing = true;
+        mFollower.tick();
+
+        // WHEN
+        mFailing = false;
+        mLog.append(entry("k", "2"));
+        advance(500);
+
+        // THEN
+        assertThat(mEvents).containsExactly("k=2");
+    }
+
     @Test
     void should_ignore_an_older_snapshot_of_a_peer() {
         // GIVEN
@@ -117,6 +134,9 @@
     private final class Recorder implements StreamListener {
         @Override
         public void changed(List<KeyedRecord> records, StreamSource source) {
+            if (mFailing) {
+                throw new IllegalStateException("expected by the test");
+            }
             for (KeyedRecord entry : records) {
                 mEvents.add(
                         entry.value()
