--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/StreamPace.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/StreamPace.java
@@ -23,8 +23,11 @@
     private static final double MARGIN_FACTOR = 1.25;
     // Assumed length of the answer if a stream states no maximum.
     private static final int DEFAULT_OUTPUT_TOKENS = 1_000;
-    // The slowest pace of the users' aim, for models of which no stream has ended yet.
-    private static final Pace DEFAULT_PACE = new Pace(1_000, 45);
+    // Assumed pace of a service of which no stream has ended yet.
+    private static final double DEFAULT_FIRST_EVENT_MILLISECONDS = 1_000;
+    private static final double DEFAULT_MILLISECONDS_PER_OUTPUT_TOKEN = 45;
+    private static final Pace DEFAULT_PACE =
+            new Pace(DEFAULT_FIRST_EVENT_MILLISECONDS, DEFAULT_MILLISECONDS_PER_OUTPUT_TOKEN);
 
     private final Clock mClock;
     private final Map<String, SlowestPace> mByModel = new HashMap<>();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/AnswerHeads.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/AnswerHeads.java
@@ -11,6 +11,7 @@
  */
 final class AnswerHeads {
     private static final String PROTOCOL = "HTTP";
+    private static final String VERSION = "HTTP/1.";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}( |$)");
     private static final int VALID = -1;
 
@@ -32,6 +33,6 @@
     }
 
     private static boolean containsStatusLine(String text) {
-        return STATUS_LINE.matcher(text).find();
+        return text.contains(VERSION) && STATUS_LINE.matcher(text).find();
     }
 }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointAnswerDecoder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointAnswerDecoder.java
@@ -5,6 +5,8 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Decoder of the answers on a connection to an endpoint, which carries one exchange at a time.
@@ -14,6 +16,8 @@
  * exchange close the connection, and {@link #hasUndecodedBytes} tells of bytes behind an answer.
  */
 final class EndpointAnswerDecoder extends HttpResponseDecoder {
+    private static final Logger LOGGER = LogManager.getLogger(EndpointAnswerDecoder.class);
+
     private boolean mExpectsAnswer;
     private boolean mHeadOnly;
 
@@ -47,6 +51,7 @@
             super.channelRead(context, message);
         } else {
             ReferenceCountUtil.release(message);
+            LOGGER.debug("closed {}: bytes arrived without a request", context.channel());
             context.close();
         }
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/NodeStreams.java
@@ -63,7 +63,7 @@
                 new StreamFollower(
                         KeyedStream.CONFIGURATION,
                         log,
-                        mTimings.configuration(),
+                        StaggeredReads.of(mTimings.configuration(), members.self(), mSlotPeers),
                         clock,
                         new FollowerListener(this::applyConfigurations));
         mEndpoints =
