Expect no stream to be faster than on an engine with a full batch

The former estimate, 1 s and 12 ms a token, is now the least that is expected, so that nothing is accepted that was refused before StreamPace came. The new case of StreamPaceTest fails without the floor.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/StreamPace.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/StreamPace.java
@@ -23,6 +23,12 @@
     private static final double MARGIN_FACTOR = 1.25;
     // Assumed length of the answer if a stream states no maximum.
     private static final int DEFAULT_OUTPUT_TOKENS = 1_000;
+    // Few streams of a model say little about its pace under load: an engine with a full batch
+    // takes about 8 ms per token, plus prefill of other prompts.
+    private static final double MINIMUM_FIRST_EVENT_MILLISECONDS = 1_000;
+    private static final double MINIMUM_MILLISECONDS_PER_OUTPUT_TOKEN = 12;
+    private static final Pace MINIMUM_PACE =
+            new Pace(MINIMUM_FIRST_EVENT_MILLISECONDS, MINIMUM_MILLISECONDS_PER_OUTPUT_TOKEN);
     // Assumed pace of a service of which no stream has ended yet.
     private static final double DEFAULT_FIRST_EVENT_MILLISECONDS = 1_000;
     private static final double DEFAULT_MILLISECONDS_PER_OUTPUT_TOKEN = 45;
@@ -59,10 +65,9 @@
             slowest = mByService.get(resolved.service());
         }
         Pace pace = slowest == null ? DEFAULT_PACE : slowest.get();
-        double expected =
-                pace.firstEventMilliseconds()
-                        + tokensOf(resolved) * pace.millisecondsPerOutputToken();
-        return Math.round(expected * MARGIN_FACTOR);
+        int tokens = tokensOf(resolved);
+        double measured = pace.milliseconds(tokens) * MARGIN_FACTOR;
+        return Math.round(Math.max(measured, MINIMUM_PACE.milliseconds(tokens)));
     }
 
     private static String modelOf(ResolvedRequest resolved) {
@@ -82,6 +87,10 @@
      *     maximum length
      */
     private record Pace(double firstEventMilliseconds, double millisecondsPerOutputToken) {
+        private double milliseconds(int outputTokens) {
+            return firstEventMilliseconds + outputTokens * millisecondsPerOutputToken;
+        }
+
         private Pace slowerOf(Pace other) {
             return new Pace(
                     Math.max(firstEventMilliseconds, other.firstEventMilliseconds),
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/StreamPaceTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/StreamPaceTest.java
@@ -30,9 +30,9 @@
 
     @Test
     void should_measure_each_model_by_itself() {
-        mPace.record(stream("small", TOKENS), 100, 1_100);
+        mPace.record(stream("small", TOKENS), 100, 2_100);
         mPace.record(stream("large", TOKENS), 100, 4_100);
-        assertThat(mPace.expectedMilliseconds(stream("small", TOKENS))).isEqualTo(1_375);
+        assertThat(mPace.expectedMilliseconds(stream("small", TOKENS))).isEqualTo(2_625);
     }
 
     @Test
@@ -48,10 +48,18 @@
         mPace.record(stream("m1", TOKENS), 100, 8_100);
         for (int interval = 0; interval < 2; interval++) {
             mClock.advance(Duration.ofSeconds(30));
-            mPace.record(stream("m1", TOKENS), 100, 1_100);
+            mPace.record(stream("m1", TOKENS), 100, 2_100);
         }
         // WHEN another one arrives, THEN only the faster ones count
-        assertThat(mPace.expectedMilliseconds(stream("m1", TOKENS))).isEqualTo(1_375);
+        assertThat(mPace.expectedMilliseconds(stream("m1", TOKENS))).isEqualTo(2_625);
+    }
+
+    @Test
+    void should_not_expect_a_stream_to_be_as_fast_as_the_few_of_its_model() {
+        // GIVEN one stream, of an engine that ran nothing else
+        mPace.record(stream("rare", TOKENS), 50, 400);
+        // WHEN another one arrives, THEN it may share a full batch
+        assertThat(mPace.expectedMilliseconds(stream("rare", TOKENS))).isEqualTo(2_200);
     }
 
     private static ResolvedRequest stream(String model, int tokens) {
