Log and count how the parts of streams end

Neither lines nor metrics could tell the hypotheses on ORDER apart: which endpoint's part of a stream ended by its connection alone, which one resumed another part, and whether the events of a stream follow one another.

EventSequence reads the ids of all events of a stream, whichever endpoints send them; the line stream_attempt_ended and the counter foxtailridge_stream_attempts_total tell framing, start, end and a violation of the order. What is forwarded does not change.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
@@ -4,11 +4,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.foxtailridge.forwarding.http.AnswerOutcome;
+import org.foxtailridge.forwarding.http.BodyFraming;
 import org.foxtailridge.forwarding.http.CallerExchange;
+import org.foxtailridge.forwarding.http.EventSequence;
 import org.foxtailridge.forwarding.http.EventSplitter;
 import org.foxtailridge.forwarding.http.RequestDialect;
 
@@ -31,6 +32,7 @@
     private final CallerExchange mCaller;
     private final RequestDialect mDialect;
     private final boolean mStreams;
+    private final EventSequence mSequence;
     private EventSplitter mSplitter = new EventSplitter();
     private ByteBuf mBuffered = Unpooled.EMPTY_BUFFER;
     private HttpResponse mHead;
@@ -40,12 +42,20 @@
     private boolean mStartedWithEvents;
     private boolean mForwardsEvents;
     private boolean mHasEventOfAttempt;
-    private String mLastEventId;
+    private Optional<String> mResumedAfter = Optional.empty();
 
-    AnswerWriter(CallerExchange caller, RequestDialect dialect, boolean streams) {
+    /**
+     * Creates a writer.
+     *
+     * @param streams whether the answer is a stream of events
+     * @param sequence order of the events of the stream
+     */
+    AnswerWriter(
+            CallerExchange caller, RequestDialect dialect, boolean streams, EventSequence sequence) {
         mCaller = caller;
         mDialect = dialect;
         mStreams = streams;
+        mSequence = sequence;
     }
 
     /** Handles the head of an endpoint's answer, dropping any earlier one; returns its outcome. */
@@ -55,6 +65,8 @@
         mOutcome = mDialect.outcomeOf(head);
         String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
         mForwardsEvents = mStreams && isSuccess() && type.startsWith(EVENT_STREAM);
+        mResumedAfter = mSequence.lastEventId();
+        mSequence.startAttempt();
         return mOutcome;
     }
 
@@ -106,13 +118,23 @@
      * of the connection is the only sign of its end, before the first event.
      */
     boolean isBrokenOff() {
-        boolean framed =
-                HttpUtil.isTransferEncodingChunked(mHead)
-                        || mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        boolean framed = BodyFraming.of(mHead) != BodyFraming.CONNECTION;
         return mForwardsEvents
                 && (mSplitter.partialBytes() > 0 || (!framed && !mHasEventOfAttempt));
     }
 
+    /** Returns the part of the stream that the current endpoint sent; empty without events. */
+    Optional<StreamAttempt> streamAttempt() {
+        return mHasEventOfAttempt
+                ? Optional.of(
+                        new StreamAttempt(
+                                BodyFraming.of(mHead),
+                                mResumedAfter,
+                                mSequence.lastEventId(),
+                                mSequence.violation()))
+                : Optional.empty();
+    }
+
     /** Returns whether any part was forwarded to the caller. */
     boolean hasStarted() {
         return mStarted;
@@ -142,9 +164,9 @@
         mCaller.end();
     }
 
-    /** Returns the identifier of the last event forwarded to the caller; empty if there is none. */
+    /** Returns the identifier of the last event that the caller has; empty if there is none. */
     Optional<String> lastEventId() {
-        return Optional.ofNullable(mLastEventId);
+        return mSequence.lastEventId();
     }
 
     /** Releases the buffered bytes of the current attempt. */
@@ -167,7 +189,7 @@
         if (!mStarted) {
             startAnswer(OptionalLong.empty());
         }
-        mSplitter.lastEventId().ifPresent(id -> mLastEventId = id);
+        mSequence.accept(events);
         mCaller.write(events);
         mCaller.flush();
         return true;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -23,6 +23,7 @@
 import org.foxtailridge.forwarding.http.CallerExchange;
 import org.foxtailridge.forwarding.http.CallerListener;
 import org.foxtailridge.forwarding.http.EndpointExchange;
+import org.foxtailridge.forwarding.http.EventSequence;
 import org.foxtailridge.forwarding.http.ExchangeListener;
 import org.foxtailridge.forwarding.request.AttemptFailure;
 import org.foxtailridge.forwarding.request.RequestOutbox;
@@ -74,7 +75,13 @@
         mCaller = caller;
         mResolved = resolved;
         boolean streams = resolved.route().kind() == RequestKind.STREAM;
-        mAnswerWriter = new AnswerWriter(caller, dependencies.dialect(), streams);
+        Optional<String> resumeAfter =
+                resolved.route().resumable()
+                        ? resolved.metadata().resumeAfter()
+                        : Optional.empty();
+        mAnswerWriter =
+                new AnswerWriter(
+                        caller, dependencies.dialect(), streams, new EventSequence(resumeAfter));
         mCrashes = new CrashReporter(dependencies, resolved, caller);
         mLog = dependencies.log().lines();
         mStateMachine =
@@ -293,6 +300,7 @@
             return;
         }
         mExchange = null;
+        logStreamAttempt("complete");
         AnswerOutcome outcome = mAnswerWriter.outcome();
         mCrashes.alive(mStateMachine.endpoint());
         switch (outcome) {
@@ -324,6 +332,7 @@
     @Override
     public void failed(AttemptFailure failure, String reason) {
         mExchange = null;
+        logStreamAttempt(reason);
         mLog.exchangeFailed(mResolved, mStateMachine.endpoint(), reason, mForwardedParts);
         if (failure == AttemptFailure.BROKEN) {
             mCrashes.broken(mStateMachine.endpoint());
@@ -336,6 +345,16 @@
         return mCrashes.heldBackMilliseconds() == 0 && mDependencies.retries().take(service);
     }
 
+    private void logStreamAttempt(String end) {
+        mAnswerWriter
+                .streamAttempt()
+                .filter(StreamAttempt::isNotable)
+                .ifPresent(
+                        attempt ->
+                                mLog.streamAttemptEnded(
+                                        mResolved, mStateMachine.endpoint(), attempt, end));
+    }
+
     private void recordPace() {
         boolean stream = mResolved.route().kind() == RequestKind.STREAM;
         if (stream && mAnswerWriter.hasStarted()) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/RequestLines.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/RequestLines.java
@@ -86,6 +86,34 @@
                         .number("answer_parts", answerParts));
     }
 
+    /**
+     * Logs and counts how an endpoint's part of a stream ended.
+     *
+     * @param end {@code complete}, or why the part broke off
+     */
+    void streamAttemptEnded(
+            ResolvedRequest resolved, EndpointName endpoint, StreamAttempt attempt, String end) {
+        String framing = wireName(attempt.framing());
+        mLog.meters()
+                .counter(
+                        "foxtailridge_stream_attempts",
+                        "framing",
+                        framing,
+                        "resumed",
+                        Boolean.toString(attempt.resumedAfter().isPresent()),
+                        "in_order",
+                        Boolean.toString(attempt.violation().isEmpty()))
+                .increment();
+        write(
+                line("stream_attempt_ended", resolved)
+                        .text("endpoint", endpoint)
+                        .text("framing", framing)
+                        .text("resumed_after", attempt.resumedAfter().orElse(""))
+                        .text("last_event", attempt.lastEventId().orElse(""))
+                        .text("violation", attempt.violation().orElse(""))
+                        .text("end", end));
+    }
+
     /** Records the time from arrival to the first forwarded part of the answer. */
     void firstPartForwarded(ResolvedRequest resolved) {
         mLog.firstByte().record(Duration.ofMillis(ageMilliseconds(resolved)));
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSplitter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSplitter.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 
 /**
  * Splitter of server-sent events: passes only complete events on and buffers the rest, so that an
@@ -12,16 +10,13 @@
  *
  * <pre>{@code
  * ByteBuf complete = splitter.feed(content);  // complete events, perhaps none; to be released
- * splitter.lastEventId();
  * }</pre>
  */
 public final class EventSplitter {
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
-    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private ByteBuf mPartial = Unpooled.EMPTY_BUFFER;
-    private String mLastEventId;
 
     /** Adds bytes and returns the events that are now complete, in a buffer to be released. */
     public ByteBuf feed(ByteBuf bytes) {
@@ -37,7 +32,6 @@
         ByteBuf complete = mPartial;
         mPartial = rest(complete, end);
         complete.writerIndex(end);
-        recordLastEventId(complete);
         return complete;
     }
 
@@ -53,11 +47,6 @@
         return mPartial.readableBytes();
     }
 
-    /** Returns the identifier of the last complete event that had one. */
-    public Optional<String> lastEventId() {
-        return Optional.ofNullable(mLastEventId);
-    }
-
     /** Releases the buffered bytes. */
     public void release() {
         takePartial().release();
@@ -88,31 +77,4 @@
         boolean skipReturn = last == CARRIAGE_RETURN && index - 1 >= from;
         return (skipReturn ? bytes.getByte(index - 1) : last) == LINE_FEED;
     }
-
-    private void recordLastEventId(ByteBuf complete) {
-        int index = complete.readerIndex();
-        while (index < complete.writerIndex()) {
-            int end = complete.indexOf(index, complete.writerIndex(), LINE_FEED);
-            int lineEnd = end < 0 ? complete.writerIndex() : end;
-            if (startsWithId(complete, index, lineEnd)) {
-                int start = index + ID_FIELD.length;
-                String id =
-                        complete.toString(start, lineEnd - start, StandardCharsets.UTF_8).strip();
-                mLastEventId = id;
-            }
-            index = lineEnd + 1;
-        }
-    }
-
-    private static boolean startsWithId(ByteBuf bytes, int from, int end) {
-        if (end - from < ID_FIELD.length) {
-            return false;
-        }
-        for (int offset = 0; offset < ID_FIELD.length; offset++) {
-            if (bytes.getByte(from + offset) != ID_FIELD[offset]) {
-                return false;
-            }
-        }
-        return true;
-    }
 }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
@@ -12,12 +12,14 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.foxtailridge.forwarding.http.AnswerMatch;
 import org.foxtailridge.forwarding.http.AnswerOutcome;
 import org.foxtailridge.forwarding.http.AttemptParameters;
 import org.foxtailridge.forwarding.http.CallerExchange;
 import org.foxtailridge.forwarding.http.CallerListener;
+import org.foxtailridge.forwarding.http.EventSequence;
 import org.foxtailridge.forwarding.http.RequestDialect;
 import org.foxtailridge.forwarding.request.RequestMetadata;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,7 +32,9 @@
     private static final String FRAMED = "Transfer-Encoding: chunked";
     private static final String UNFRAMED = "Other: value";
 
-    private final AnswerWriter mWriter = new AnswerWriter(new Caller(), new Dialect(), true);
+    private final AnswerWriter mWriter =
+            new AnswerWriter(
+                    new Caller(), new Dialect(), true, new EventSequence(Optional.empty()));
 
     @ParameterizedTest(name = "{0}, [{1}]")
     @CsvSource({
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/EventSplitterTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/EventSplitterTest.java
@@ -18,14 +18,12 @@
     void should_buffer_an_event_until_it_is_complete() {
         assertThat(feed("id: 1\ndata: a")).isEmpty();
         assertThat(feed("\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
-        assertThat(mSplitter.lastEventId()).contains("1");
         assertThat(mSplitter.partialBytes()).isPositive();
     }
 
     @Test
     void should_split_events_whose_lines_end_in_carriage_return_and_line_feed() {
         assertThat(feed("id: 7\r\ndata: a\r\n\r\n")).endsWith("\r\n\r\n");
-        assertThat(mSplitter.lastEventId()).contains("7");
     }
 
     @Test
@@ -54,7 +52,6 @@
             position = end;
         }
         assertThat(passed.toString()).isEqualTo(stream.toString());
-        assertThat(splitter.lastEventId()).contains("19");
     }
 
     private String feed(String text) {
