Forward only events that follow the ones before them

What callers could see: an event twice, events that start again from the first, or the head and the events of a second answer in the middle of a stream, all as one complete answer.

Cause: nothing checked what the events of an endpoint say of their place. The splitter read ids only to know where to resume; the head of a second answer behind a body without a length was an event like any other. The class of fault: an answer is accepted because nothing speaks against it.

Change: EventSequence decides which events of a stream are forwarded, over all attempts of a request. Ids must increase, as the protocol states, also behind the event after which an endpoint was to resume; a line that is no field ends the attempt. The rest goes on at another endpoint where the route allows it, else the answer is broken off. A stream whose last forwarded event has data and no id is not resumed, as its place can't be named.

Ids with gaps pass: the protocol promises that ids increase, not that they are consecutive.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
@@ -51,7 +51,10 @@
      * @param sequence order of the events of the stream
      */
     AnswerWriter(
-            CallerExchange caller, RequestDialect dialect, boolean streams, EventSequence sequence) {
+            CallerExchange caller,
+            RequestDialect dialect,
+            boolean streams,
+            EventSequence sequence) {
         mCaller = caller;
         mDialect = dialect;
         mStreams = streams;
@@ -70,7 +73,10 @@
         return mOutcome;
     }
 
-    /** Handles a part of the body; returns whether any bytes were forwarded to the caller. */
+    /**
+     * Handles a part of the body; returns whether any bytes were forwarded to the caller. Events
+     * from the first on that is out of order are dropped.
+     */
     boolean content(ByteBuf content) {
         if (mForwardsEvents) {
             return forwardEvents(content);
@@ -96,6 +102,16 @@
                 || mBuffered.readableBytes() > MAXIMUM_EVENT_BYTES;
     }
 
+    /** Returns whether the current attempt sent an event that does not follow the ones before. */
+    boolean isOutOfOrder() {
+        return mSequence.violation().isPresent();
+    }
+
+    /** Returns whether another endpoint can continue the answer after what was forwarded. */
+    boolean isContinuable() {
+        return mStartedWithEvents && mSequence.isContinuable();
+    }
+
     /**
      * Returns whether the current attempt would end the answer to the caller, but can't: a part of
      * an earlier attempt was forwarded, and only the events of another one may follow events.
@@ -181,6 +197,7 @@
 
     private boolean forwardEvents(ByteBuf content) {
         ByteBuf events = mSplitter.feed(content);
+        events.writerIndex(events.readerIndex() + mSequence.accept(events));
         if (!events.isReadable()) {
             events.release();
             return false;
@@ -189,7 +206,6 @@
         if (!mStarted) {
             startAnswer(OptionalLong.empty());
         }
-        mSequence.accept(events);
         mCaller.write(events);
         mCaller.flush();
         return true;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -76,9 +76,7 @@
         mResolved = resolved;
         boolean streams = resolved.route().kind() == RequestKind.STREAM;
         Optional<String> resumeAfter =
-                resolved.route().resumable()
-                        ? resolved.metadata().resumeAfter()
-                        : Optional.empty();
+                resolved.route().resumable() ? resolved.metadata().resumeAfter() : Optional.empty();
         mAnswerWriter =
                 new AnswerWriter(
                         caller, dependencies.dialect(), streams, new EventSequence(resumeAfter));
@@ -286,7 +284,12 @@
                 mLog.firstPartForwarded(mResolved);
             }
             reportFirstToken();
-            mStateMachine.answerPartForwarded();
+            mStateMachine.answerPartForwarded(mAnswerWriter.isContinuable());
+        }
+        if (mAnswerWriter.isOutOfOrder()) {
+            logStreamAttempt("out of order");
+            mStateMachine.attemptFailed(AttemptFailure.BROKEN, false);
+            return;
         }
         if (mAnswerWriter.isTooLarge()) {
             mStateMachine.attemptFailed(AttemptFailure.BROKEN, false);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSequence.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSequence.java
@@ -87,7 +87,9 @@
         return accepted - start;
     }
 
-    /** Returns the identifier of the last accepted event that has one, or the one to resume after. */
+    /**
+     * Returns the identifier of the last accepted event that has one, or the one to resume after.
+     */
     public Optional<String> lastEventId() {
         return Optional.ofNullable(mLastId);
     }
@@ -139,7 +141,8 @@
         }
         long number = number(events, mIdStart, mIdEnd);
         if (!follows(events, number)) {
-            mViolation = "event " + text(events, mIdStart, mIdEnd) + " follows event " + mLastId;
+            Object last = mLastNumber == NOT_A_NUMBER ? mLastId : mLastNumber;
+            mViolation = "event " + text(events, mIdStart, mIdEnd) + " follows event " + last;
             return false;
         }
         if (number == NOT_A_NUMBER) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestStateMachine.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestStateMachine.java
@@ -23,7 +23,7 @@
  * request.start();                        // calls outbox.reserve() or outbox.submit(...)
  * request.tokensGranted();                // calls outbox.submit(...)
  * request.dispatched(endpoint, false);    // calls outbox.send(endpoint)
- * request.answerPartForwarded();
+ * request.answerPartForwarded(true);
  * request.answerCompleted();              // calls outbox.ended()
  * }</pre>
  */
@@ -41,6 +41,7 @@
     private boolean mMayHaveRun;
     private boolean mHasBufferedAnswer;
     private boolean mAnswerStarted;
+    private boolean mAnswerContinuable;
     private int mFailedAdapterLoads;
 
     /** Creates the state machine of a request whose head and body have arrived completely. */
@@ -130,12 +131,20 @@
         }
     }
 
-    /** Records that a part of the answer was forwarded to the caller. */
-    public void answerPartForwarded() {
+    /**
+     * Records that a part of the answer was forwarded to the caller.
+     *
+     * @param continuable whether another endpoint can continue the answer after this part
+     */
+    public void answerPartForwarded(boolean continuable) {
+        if (!isSent()) {
+            return;
+        }
         if (mPhase == RequestPhase.SENT) {
             transitionTo(RequestPhase.ANSWERING);
-            mAnswerStarted = true;
         }
+        mAnswerStarted = true;
+        mAnswerContinuable = continuable;
     }
 
     /** Ends the request with the complete answer of the endpoint. */
@@ -275,6 +284,7 @@
         boolean canContinueAnswer =
                 !mAnswerStarted
                         || (mResolved.route().resumable()
+                                && mAnswerContinuable
                                 && failure != AttemptFailure.FAILED_ANSWER);
         if (!isSafeToRepeat || !canContinueAnswer || !hasTime() || !updateTriedEndpoints(failure)) {
             return false;
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
@@ -7,21 +7,12 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.OptionalLong;
-import org.foxtailridge.forwarding.http.AnswerMatch;
-import org.foxtailridge.forwarding.http.AnswerOutcome;
-import org.foxtailridge.forwarding.http.AttemptParameters;
-import org.foxtailridge.forwarding.http.CallerExchange;
-import org.foxtailridge.forwarding.http.CallerListener;
 import org.foxtailridge.forwarding.http.EventSequence;
-import org.foxtailridge.forwarding.http.RequestDialect;
-import org.foxtailridge.forwarding.request.RequestMetadata;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -34,7 +25,10 @@
 
     private final AnswerWriter mWriter =
             new AnswerWriter(
-                    new Caller(), new Dialect(), true, new EventSequence(Optional.empty()));
+                    new RecordingCaller(),
+                    new StatusDialect(),
+                    true,
+                    new EventSequence(Optional.empty()));
 
     @ParameterizedTest(name = "{0}, [{1}]")
     @CsvSource({
@@ -94,78 +88,4 @@
                         .set(field[0], field[1]);
         return new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, headers);
     }
-
-    private static final class Dialect implements RequestDialect {
-        @Override
-        public RequestMetadata readRequest(HttpRequest head) {
-            throw new AssertionError("expected no request");
-        }
-
-        @Override
-        public HttpHeaders headersToEndpoint(HttpRequest head, AttemptParameters parameters) {
-            throw new AssertionError("expected no request");
-        }
-
-        @Override
-        public AnswerMatch match(HttpResponse head, String requestId) {
-            return AnswerMatch.OWN;
-        }
-
-        @Override
-        public AnswerOutcome outcomeOf(HttpResponse head) {
-            return switch (head.status().code()) {
-                case 200 -> AnswerOutcome.SUCCESS;
-                case 404 -> AnswerOutcome.REJECTION;
-                case 500 -> AnswerOutcome.FAILURE;
-                default -> AnswerOutcome.FULL;
-            };
-        }
-
-        @Override
-        public HttpHeaders headersToCaller(HttpResponse head) {
-            return head.headers();
-        }
-    }
-
-    private static final class Caller implements CallerExchange {
-        @Override
-        public HttpRequest head() {
-            throw new AssertionError("expected no use of the request");
-        }
-
-        @Override
-        public ByteBuf body() {
-            return Unpooled.EMPTY_BUFFER;
-        }
-
-        @Override
-        public long arrivedMilliseconds() {
-            return 0;
-        }
-
-        @Override
-        public void setListener(CallerListener listener) {}
-
-        @Override
-        public void begin(int status, String reason, HttpHeaders headers, OptionalLong length) {}
-
-        @Override
-        public void write(ByteBuf content) {
-            content.release();
-        }
-
-        @Override
-        public void flush() {}
-
-        @Override
-        public void end() {}
-
-        @Override
-        public void abort() {}
-
-        @Override
-        public boolean isWritable() {
-            return true;
-        }
-    }
 }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestStateMachineTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestStateMachineTest.java
@@ -158,11 +158,14 @@
                 .doesNotContain("fail NO_ENDPOINT");
     }
 
-    @Test
-    void should_abort_an_interrupted_stream_that_is_not_resumable() {
+    @ParameterizedTest(name = "resumable {0}, continuable {1}")
+    @CsvSource({"false, true", "true, false"})
+    void should_abort_an_interrupted_stream_that_no_endpoint_can_continue(
+            boolean resumable, boolean continuable) {
         // GIVEN
-        RequestStateMachine stateMachine = sent(RequestKind.STREAM, false, 2);
-        stateMachine.answerPartForwarded();
+        RequestStateMachine stateMachine = sent(RequestKind.STREAM, resumable, 2);
+        stateMachine.answerPartForwarded(true);
+        stateMachine.answerPartForwarded(continuable);
 
         // WHEN
         stateMachine.attemptFailed(AttemptFailure.BROKEN, false);
@@ -176,12 +179,12 @@
     void should_resume_an_interrupted_stream_at_another_endpoint() {
         // GIVEN
         RequestStateMachine stateMachine = sent(RequestKind.STREAM, true, 2);
-        stateMachine.answerPartForwarded();
+        stateMachine.answerPartForwarded(true);
         stateMachine.attemptFailed(AttemptFailure.BROKEN, false);
 
         // WHEN
         stateMachine.dispatched(TWO, false);
-        stateMachine.answerPartForwarded();
+        stateMachine.answerPartForwarded(true);
         stateMachine.answerCompleted();
 
         // THEN
@@ -310,7 +313,7 @@
             case 1 -> stateMachine.tokensRefused(ErrorKind.RATE_EXCEEDED, 100);
             case 2, 3 -> stateMachine.dispatched(endpoint, random.nextInt(4) == 0);
             case 4 -> stateMachine.adapterLoaded();
-            case 5 -> stateMachine.answerPartForwarded();
+            case 5 -> stateMachine.answerPartForwarded(true);
             case 6 -> {
                 AttemptFailure failure =
                         AttemptFailure.values()[random.nextInt(AttemptFailure.values().length)];
