Check that an endpoint is still there when its unframed answer ends

What callers could see: a stream, or a plain answer, that broke off between two events as a complete one, when it had neither length nor chunks and its endpoint was killed.

Cause: the end of the connection was taken for the end of the answer unless the connection was reset. The system closes the connections of a process that is killed without a reset, unless bytes are left unread. The same holds for a request that could not be written to its end: the failed write closes the connection before a read reports the reset.

Change: at the end of such a body a new connection to the endpoint is opened, which later requests use. If it is refused, or closed within 50 ms, the body counts as broken off. Answers with a length or chunks are not affected.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -17,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.logging.log4j.LogManager;
@@ -30,7 +30,8 @@
  * <p>Bytes that arrive without an exchange, or behind an answer, close the connection. An answer to
  * an earlier exchange is skipped, and the connection is not reused. An answer that does not state
  * its request fails the exchange. A body that is not framed ends with the connection, and is
- * complete only when the endpoint closes the connection without a reset.
+ * complete only when the endpoint closes the connection without a reset and still accepts others:
+ * the system closes the connections of a process that was killed in the same way.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOGGER = LogManager.getLogger(EndpointConnection.class);
@@ -51,6 +52,8 @@
     // Set once an answer to an earlier exchange has arrived; the connection is not reused then.
     private boolean mUnmatchedAnswer;
     private boolean mReset;
+    // Whether the end of an unframed body is being checked after the end of the connection.
+    private boolean mCheckingEnd;
     private long mIdleTimeoutMilliseconds;
     private long mIdleSinceMilliseconds;
 
@@ -123,7 +126,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mOwner.closed(this);
-        fail(mReset ? "the connection was reset" : "the connection was closed");
+        if (!mCheckingEnd) {
+            fail(mReset ? "the connection was reset" : "the connection was closed");
+        }
     }
 
     @Override
@@ -189,11 +194,27 @@
     }
 
     private void complete() {
-        boolean framed = HttpUtil.isTransferEncodingChunked(mHead) || hasLength() || hasNoBody();
-        if (!framed && mReset) {
+        boolean framed = BodyFraming.of(mHead) != BodyFraming.CONNECTION || hasNoBody();
+        if (framed || mChannel.isActive()) {
+            end(framed);
+        } else if (mReset || !mRequestWritten.isSuccess()) {
             fail("the connection was reset inside a body without a length");
-            return;
+        } else {
+            mCheckingEnd = true;
+            mOwner.checkAccepting(this::endUnframed);
+        }
+    }
+
+    /** Ends an exchange whose body ended with the connection. */
+    private void endUnframed(boolean accepting) {
+        if (!accepting) {
+            fail("the endpoint was gone at the end of a body without a length");
+        } else if (mListener != null) {
+            end(false);
         }
+    }
+
+    private void end(boolean framed) {
         ExchangeListener listener = mListener;
         mListener = null;
         boolean reusable =
@@ -214,10 +235,6 @@
         listener.complete();
     }
 
-    private boolean hasLength() {
-        return mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-    }
-
     private boolean hasNoBody() {
         int status = mHead.status().code();
         return status == 204 || status == 304;
@@ -252,6 +269,9 @@
         /** The connection is idle and can carry another exchange. */
         void becameIdle(EndpointConnection connection);
 
+        /** Tells whether the endpoint accepts connections, with a new one. */
+        void checkAccepting(Consumer<Boolean> result);
+
         /** The connection closed and can't be used any more. */
         void closed(EndpointConnection connection);
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnections.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnections.java
@@ -16,6 +16,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.foxtailridge.forwarding.endpoint.EndpointAddress;
 
 /**
@@ -31,8 +35,11 @@
  * }</pre>
  */
 public final class EndpointConnections {
+    private static final Logger LOGGER = LogManager.getLogger(EndpointConnections.class);
     private static final int MAXIMUM_LINE_BYTES = 4_096;
     private static final int MAXIMUM_CHUNK_BYTES = 16_384;
+    // A process that ends closes its connections one after another, the listening one among them.
+    private static final int PROCESS_EXIT_MILLISECONDS = 50;
 
     private final EventLoop mLoop;
     private final ConnectionSettings mSettings;
@@ -148,30 +155,67 @@
         }
 
         private void connect(EndpointExchange exchange) {
+            EndpointConnection connection = newConnection();
+            open(connection)
+                    .addListener(
+                            (ChannelFuture connected) -> {
+                                if (connected.isSuccess()) {
+                                    exchange.start(connection);
+                                } else {
+                                    mOpen--;
+                                    exchange.failUnsent(
+                                            "no connection: " + connected.cause().getMessage());
+                                }
+                            });
+        }
+
+        private EndpointConnection newConnection() {
+            return new EndpointConnection(this, mSettings.idleTimeout().toMillis());
+        }
+
+        private ChannelFuture open(EndpointConnection connection) {
             mOpen++;
             mOpened++;
-            EndpointConnection connection =
-                    new EndpointConnection(this, mSettings.idleTimeout().toMillis());
-            ChannelFuture connected =
-                    mBootstrap
-                            .clone()
-                            .handler(
-                                    new ChannelInitializer<SocketChannel>() {
-                                        @Override
-                                        protected void initChannel(SocketChannel channel) {
-                                            connection.addTo(channel.pipeline(), decoderConfig());
-                                        }
-                                    })
-                            .connect(mAddress.toSocketAddress());
-            connected.addListener(
-                    result -> {
-                        if (connected.isSuccess()) {
-                            exchange.start(connection);
-                        } else {
-                            mOpen--;
-                            exchange.failUnsent("no connection: " + connected.cause().getMessage());
-                        }
-                    });
+            return mBootstrap
+                    .clone()
+                    .handler(
+                            new ChannelInitializer<SocketChannel>() {
+                                @Override
+                                protected void initChannel(SocketChannel channel) {
+                                    connection.addTo(channel.pipeline(), decoderConfig());
+                                }
+                            })
+                    .connect(mAddress.toSocketAddress());
+        }
+
+        @Override
+        public void checkAccepting(Consumer<Boolean> result) {
+            EndpointConnection connection = newConnection();
+            open(connection)
+                    .addListener(
+                            (ChannelFuture connected) -> {
+                                if (connected.isSuccess()) {
+                                    mLoop.schedule(
+                                            () -> result.accept(keepIfOpen(connection)),
+                                            PROCESS_EXIT_MILLISECONDS,
+                                            TimeUnit.MILLISECONDS);
+                                } else {
+                                    mOpen--;
+                                    LOGGER.info(
+                                            "endpoint {} accepts no connections: {}",
+                                            mAddress,
+                                            connected.cause().getMessage());
+                                    result.accept(false);
+                                }
+                            });
+        }
+
+        private boolean keepIfOpen(EndpointConnection connection) {
+            boolean open = connection.isOpen();
+            if (open) {
+                becameIdle(connection);
+            }
+            return open;
         }
 
         @Override
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/EndpointConnectionTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/EndpointConnectionTest.java
@@ -14,10 +14,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.foxtailridge.forwarding.request.AttemptFailure;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -32,6 +34,7 @@
 
     private final List<String> mPoolEvents = new ArrayList<>();
     private final List<String> mEvents = new ArrayList<>();
+    private Consumer<Boolean> mCheck = accepting -> mEvents.add("not checked");
     private final EndpointConnection mConnection =
             new EndpointConnection(
                     new EndpointConnection.Owner() {
@@ -40,6 +43,11 @@
                             mPoolEvents.add("free");
                         }
 
+                        @Override
+                        public void checkAccepting(Consumer<Boolean> result) {
+                            mCheck = result;
+                        }
+
                         @Override
                         public void closed(EndpointConnection connection) {
                             mPoolEvents.add("closed");
@@ -86,12 +94,31 @@
         assertThat(mChannel.isActive()).isFalse();
     }
 
+    @ParameterizedTest
+    @CsvSource({"true, complete", "false, failed BROKEN"})
+    void should_complete_an_unframed_body_only_if_the_endpoint_is_still_there(
+            boolean accepting, String expected) {
+        // GIVEN an answer that ends with its connection, without a reset
+        start();
+        receive("HTTP/1.1 200 OK\r\nId: own\r\n\r\nall");
+        mChannel.close();
+        assertThat(mEvents).containsExactly("head 200", "all");
+
+        // WHEN
+        mCheck.accept(accepting);
+
+        // THEN
+        assertThat(mEvents).containsExactly("head 200", "all", expected);
+    }
+
     @Test
-    void should_complete_an_unframed_body_when_the_endpoint_closes_without_reset() {
+    void should_not_call_the_listener_when_it_is_cancelled_during_the_check() {
         start();
         receive("HTTP/1.1 200 OK\r\nId: own\r\n\r\nall");
         mChannel.close();
-        assertThat(mEvents).containsExactly("head 200", "all", "complete");
+        mConnection.cancel();
+        mCheck.accept(true);
+        assertThat(mEvents).containsExactly("head 200", "all");
     }
 
     @Test
