Fail a body without a length when the request meets a reset

Callers saw a short body that was framed as whole: an endpoint answered without a length while a long request was still being sent, and reset the connection.

Cause: only exceptionCaught noted a reset. When a write meets the reset before a read does, the channel is closed without that call, and the end of the connection counted as the end of the body.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -17,6 +17,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.logging.log4j.LogManager;
@@ -79,6 +81,7 @@
         mHead = null;
         mSkipping = false;
         mRequestWritten = mChannel.writeAndFlush(request);
+        mRequestWritten.addListener(written -> mReset |= isReset(written.cause()));
     }
 
     /** Closes the connection without any further call of the exchange's listener. */
@@ -223,6 +226,16 @@
         return status == 204 || status == 304;
     }
 
+    /**
+     * Returns whether a write failed because the endpoint reset the connection. The channel is then
+     * closed without {@link #exceptionCaught}; after an orderly close it is a closed channel that
+     * fails the write.
+     */
+    private static boolean isReset(Throwable writeFailure) {
+        return writeFailure instanceof IOException
+                && !(writeFailure instanceof ClosedChannelException);
+    }
+
     /** Returns the idle timeout that the endpoint names, less a margin, or the default. */
     private long idleTimeoutMilliseconds() {
         String keepAlive = mHead.headers().get("Keep-Alive");
