Reset a connection that closes inside an unframed answer

Callers that speak HTTP/1.0 would get a part of a stream that looks complete: at the end of the stop time, when the caller had ended its own direction, and when the answer was complete but not yet written.

Cause: the end of the connection is the end of such an answer, and only ChannelExchange.abort reset it; every other close was orderly.

UnframedAnswerTest, on sockets: 3 of 4 cases failed before, none after. The reset is now set up when the answer begins and taken back once it is written, so that it doesn't depend on who closes the connection. The fourth case is a complete answer to a slow reader, which still ends in an orderly way.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/ChannelExchange.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/ChannelExchange.java
@@ -17,9 +17,16 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.OptionalLong;
 
-/** Exchange on a Netty channel of a caller. */
+/**
+ * Exchange on a Netty channel of a caller.
+ *
+ * <p>The end of an unframed answer is the end of its connection. Until such an answer is written,
+ * every close of the connection is a reset, whatever causes it: after an orderly close the caller
+ * would take a partial answer for a complete one.
+ */
 final class ChannelExchange implements CallerExchange {
     private static final int ZERO_LINGER_SECONDS = 0;
+    private static final int LINGER_DISABLED = -1;
 
     private final CallerConnection mConnection;
     private final Channel mChannel;
@@ -81,6 +88,9 @@
         } else if (isHttp10) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
         }
+        if (!mFramed) {
+            setResetOnClose(true);
+        }
         mChannel.write(response);
         mUnflushed = true;
     }
@@ -107,6 +117,9 @@
         mEnded = true;
         mRequest.release();
         ChannelFuture written = mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        if (!mFramed) {
+            written.addListener(result -> setResetOnClose(!result.isSuccess()));
+        }
         // The stop may have started after the head of the answer announced keep-alive.
         mConnection.exchangeEnded(written, mKeepOpen && !mHandler.isStopping());
     }
@@ -119,9 +132,7 @@
         mEnded = true;
         mRequest.release();
         if (!mFramed) {
-            // The end of an unframed body is the end of the connection, so that an orderly close
-            // would make a partial body look complete; a reset does not.
-            mChannel.config().setOption(ChannelOption.SO_LINGER, ZERO_LINGER_SECONDS);
+            setResetOnClose(true);
         }
         mChannel.close();
     }
@@ -131,6 +142,13 @@
         return mChannel.isWritable();
     }
 
+    private void setResetOnClose(boolean reset) {
+        if (mChannel.isActive()) {
+            int linger = reset ? ZERO_LINGER_SECONDS : LINGER_DISABLED;
+            mChannel.config().setOption(ChannelOption.SO_LINGER, linger);
+        }
+    }
+
     void disconnected() {
         if (!mEnded) {
             mEnded = true;
