Fail an answer with a transfer coding that can't be read

Callers would get the sizes of the chunks as a part of the body, in a 200 that is framed as whole: a head whose "Transfer-Encoding: chunked" was damaged ("chunke") counted as a body that ends with the connection. A body in another coding was passed on without the header that names it.

Cause: Netty reads a body without a length and without the chunked coding to the end of the connection, whatever else the header names, and the header is not passed on.

EndpointConnectionTest: 4 of 7 codings reached the caller before, none now; "chunked, gzip" and two headers were refused already. Requests ask for no transfer coding, so that an answer may have none but chunks.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/AnswerHeads.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/AnswerHeads.java
@@ -1,13 +1,17 @@
 package org.foxtailridge.forwarding.http;
 
+import static io.netty.handler.codec.http.HttpHeaderValues.CHUNKED;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValidationUtil;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 
 /**
- * Detects heads that are joined from two answers: an endpoint broke off inside a head and went on
- * with another one.
+ * Detects heads that don't belong to one whole answer: joined from two, as an endpoint broke off
+ * inside a head and went on with another one, or with a body that can't be read to its end.
  */
 final class AnswerHeads {
     private static final String PROTOCOL = "HTTP";
@@ -32,6 +36,16 @@
         return true;
     }
 
+    /**
+     * Returns whether the body has no transfer coding but the chunked one. Requests ask for no
+     * other, and a damaged name would make the chunks a part of the body.
+     */
+    static boolean hasReadableBody(HttpResponse head) {
+        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return codings.isEmpty()
+                || (codings.size() == 1 && CHUNKED.contentEqualsIgnoreCase(codings.get(0).strip()));
+    }
+
     private static boolean containsStatusLine(String text) {
         return text.contains(VERSION) && STATUS_LINE.matcher(text).find();
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -154,7 +154,9 @@
     }
 
     private void readHead(HttpResponse head) {
-        if (head.decoderResult().isFailure() || !AnswerHeads.isOfOneAnswer(head)) {
+        if (head.decoderResult().isFailure()
+                || !AnswerHeads.isOfOneAnswer(head)
+                || !AnswerHeads.hasReadableBody(head)) {
             failAndClose("the answer has no readable head");
             return;
         }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/EndpointConnectionTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/EndpointConnectionTest.java
@@ -179,6 +179,40 @@
         assertThat(mChannel.isActive()).isFalse();
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "chunke",
+                "",
+                "gzip",
+                "gzip, chunked",
+                "chunked, gzip",
+                "chunked\r\nTransfer-Encoding: gzip",
+                "chunked\r\nTransfer-Encoding: chunked",
+            })
+    void should_fail_when_the_body_has_a_transfer_coding_that_was_not_asked_for(String coding) {
+        // WHEN
+        start();
+        receive(
+                "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: "
+                        + coding
+                        + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        mChannel.close();
+
+        // THEN
+        assertThat(mEvents).containsExactly("failed BROKEN");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked", "Chunked", " chunked "})
+    void should_read_a_body_in_chunks(String coding) {
+        start();
+        receive("HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: " + coding + "\r\n\r\n");
+        receive("2\r\nok\r\n0\r\n\r\n");
+        assertThat(mEvents).containsExactly("head 200", "ok", "complete");
+        assertThat(mPoolEvents).containsExactly("free");
+    }
+
     @Test
     void should_read_the_answer_to_a_request_for_the_head_only() {
         mConnection.start(
