Take no stream for whole without its type and framing

Callers of a stream would get what has arrived as a 200 with a Content-Length: the head had lost its middle, with Content-Type, Content-Length and Transfer-Encoding, and kept identifier and signature.

Cause: AnswerWriter asked only streams of events for a sign of their end. Without the type, the events were an unframed body that ended with the connection, whole however short it was.

On a route of streams such an answer now counts as broken off, as nothing tells its end from a connection that broke; one with a length or chunks doesn't, nor do 204, rejections, and the answers of other routes, which may end with their connection.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -103,14 +104,14 @@
 
     /**
      * Returns whether a stream that ended was in fact broken off: inside an event, or, if the end
-     * of the connection is the only sign of its end, before the first event.
+     * of the connection is the only sign of its end, before the first event or without the type of
+     * a stream of events.
      */
     boolean isBrokenOff() {
-        boolean framed =
-                HttpUtil.isTransferEncodingChunked(mHead)
-                        || mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        return mForwardsEvents
-                && (mSplitter.partialBytes() > 0 || (!framed && !mHasEventOfAttempt));
+        if (mForwardsEvents) {
+            return mSplitter.partialBytes() > 0 || (!isFramed() && !mHasEventOfAttempt);
+        }
+        return mStreams && isSuccess() && !isFramed();
     }
 
     /** Returns whether any part was forwarded to the caller. */
@@ -183,6 +184,12 @@
                 length);
     }
 
+    private boolean isFramed() {
+        return HttpUtil.isTransferEncodingChunked(mHead)
+                || mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || mHead.status().equals(HttpResponseStatus.NO_CONTENT);
+    }
+
     private void appendToBuffer(ByteBuf content) {
         if (mBuffered == Unpooled.EMPTY_BUFFER) {
             mBuffered = Unpooled.buffer(content.readableBytes());
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -289,7 +289,7 @@
     @Override
     public void complete() {
         if (mAnswerWriter.isBrokenOff()) {
-            failed(AttemptFailure.BROKEN, "the stream ended inside an event or before the first");
+            failed(AttemptFailure.BROKEN, "the stream ended without a sign that it is complete");
             return;
         }
         mExchange = null;
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
@@ -20,8 +20,10 @@
 import org.foxtailridge.forwarding.http.CallerListener;
 import org.foxtailridge.forwarding.http.RequestDialect;
 import org.foxtailridge.forwarding.request.RequestMetadata;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a stream that reaches its caller as complete although its endpoint broke it off.
@@ -56,6 +58,51 @@
         assertThat(mWriter.isBrokenOff()).isEqualTo(expected);
     }
 
+    @ParameterizedTest(name = "{0}, [{1}]")
+    @CsvSource({
+        UNFRAMED + ", 'id: 1\n\n', true",
+        UNFRAMED + ", 'id: 1\n\nid: 2\nda', true",
+        UNFRAMED + ", '1a\r\nid: 1\n\n\r\n0\r\n\r\n', true",
+        UNFRAMED + ", '', true",
+        FRAMED + ", 'id: 1\n\n', false",
+        "Content-Length: 7, 'id: 1\n\n', false",
+    })
+    void should_not_take_a_body_for_whole_when_neither_framing_nor_events_tell_its_end(
+            String framing, String body, boolean expected) {
+        // GIVEN a head of a stream that lost its content type
+        String[] field = framing.split(": ");
+        mWriter.head(head(200, new DefaultHttpHeaders().set(field[0], field[1])));
+
+        // WHEN
+        mWriter.content(Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+
+        // THEN
+        assertThat(mWriter.isBrokenOff()).isEqualTo(expected);
+    }
+
+    @Test
+    void should_take_an_unframed_body_of_a_route_without_streams_for_whole() {
+        // GIVEN
+        AnswerWriter writer = new AnswerWriter(new Caller(), new Dialect(), false);
+        writer.head(head(200, new DefaultHttpHeaders()));
+
+        // WHEN
+        writer.content(Unpooled.copiedBuffer("text", StandardCharsets.UTF_8));
+
+        // THEN
+        assertThat(writer.isBrokenOff()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {204, 404})
+    void should_take_an_answer_without_a_body_or_a_rejection_for_whole(int status) {
+        // WHEN
+        mWriter.head(head(status, new DefaultHttpHeaders()));
+
+        // THEN
+        assertThat(mWriter.isBrokenOff()).isFalse();
+    }
+
     @ParameterizedTest(name = "{0}, {1}: {2}")
     @CsvSource({
         "200, text/event-stream, false",
@@ -88,7 +135,12 @@
                 new DefaultHttpHeaders()
                         .set("Content-Type", "text/event-stream")
                         .set(field[0], field[1]);
-        return new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, headers);
+        return head(200, headers);
+    }
+
+    private static HttpResponse head(int status, HttpHeaders headers) {
+        return new DefaultHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
     }
 
     private static final class Dialect implements RequestDialect {
@@ -110,7 +162,7 @@
         @Override
         public AnswerOutcome outcomeOf(HttpResponse head) {
             return switch (head.status().code()) {
-                case 200 -> AnswerOutcome.SUCCESS;
+                case 200, 204 -> AnswerOutcome.SUCCESS;
                 case 404 -> AnswerOutcome.REJECTION;
                 case 500 -> AnswerOutcome.FAILURE;
                 default -> AnswerOutcome.FULL;
