--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
@@ -131,12 +131,15 @@
 
     /**
      * Returns whether a stream that ended was in fact broken off: inside an event, or, if the end
-     * of the connection is the only sign of its end, before the first event.
+     * of the connection is the only sign of its end, before the first event or without the type of
+     * a stream of events.
      */
     boolean isBrokenOff() {
         boolean framed = BodyFraming.of(mHead) != BodyFraming.CONNECTION;
-        return mForwardsEvents
-                && (mSplitter.partialBytes() > 0 || (!framed && !mHasEventOfAttempt));
+        if (mForwardsEvents) {
+            return mSplitter.partialBytes() > 0 || (!framed && !mHasEventOfAttempt);
+        }
+        return mStreams && isSuccess() && !framed;
     }
 
     /** Returns the part of the stream that the current endpoint sent; empty without events. */
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -82,6 +84,7 @@
         mHead = null;
         mSkipping = false;
         mRequestWritten = mChannel.writeAndFlush(request);
+        mRequestWritten.addListener(written -> mReset |= isReset(written.cause()));
     }
 
     /** Closes the connection without any further call of the exchange's listener. */
@@ -156,7 +159,9 @@
     }
 
     private void readHead(HttpResponse head) {
-        if (head.decoderResult().isFailure() || !AnswerHeads.isOfOneAnswer(head)) {
+        if (head.decoderResult().isFailure()
+                || !AnswerHeads.isOfOneAnswer(head)
+                || !AnswerHeads.hasReadableBody(head)) {
             failAndClose("the answer has no readable head");
             return;
         }
@@ -194,10 +199,10 @@
     }
 
     private void complete() {
-        boolean framed = BodyFraming.of(mHead) != BodyFraming.CONNECTION || hasNoBody();
+        boolean framed = BodyFraming.of(mHead) != BodyFraming.CONNECTION;
         if (framed || mChannel.isActive()) {
             end(framed);
-        } else if (mReset || !mRequestWritten.isSuccess()) {
+        } else if (mReset) {
             fail("the connection was reset inside a body without a length");
         } else {
             mCheckingEnd = true;
@@ -235,9 +240,14 @@
         listener.complete();
     }
 
-    private boolean hasNoBody() {
-        int status = mHead.status().code();
-        return status == 204 || status == 304;
+    /**
+     * Returns whether a write failed because the endpoint reset the connection. The channel is then
+     * closed without {@link #exceptionCaught}; after an orderly close it is a closed channel that
+     * fails the write.
+     */
+    private static boolean isReset(Throwable writeFailure) {
+        return writeFailure instanceof IOException
+                && !(writeFailure instanceof ClosedChannelException);
     }
 
     /** Returns the idle timeout that the endpoint names, less a margin, or the default. */
