Pause an answer whose caller was full before the answer began

What callers saw: a node that ran out of memory, and with it the requests of everybody on that node, if an endpoint sent a body without end behind other answers that its caller had not read.

Cause: reading from the endpoint is paused when the connection to the caller reports that it has become full. It reports changes only. A request that begins while earlier answers still wait on the connection (pipelined requests, or another endpoint that takes over a stream) gets no report, and its answer was read without a bound.

Fix: after each forwarded part the request looks whether the connection to the caller is full and pauses the endpoint. The report that it has room again resumes as before, and always comes, since the connection is full at that moment.

Evidence: SlowCallerTest on loopback sockets. Without the change 2 of 3 cases failed: the node had read 141 MB and 146 MB for one caller that read nothing, when the test stopped at 96 MiB, the direct memory of a node with -Xmx96m. All 3 hold with it. An answer that fills the connection itself was paused before; the third case shows that.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -280,6 +280,7 @@
             }
             reportFirstToken();
             mStateMachine.answerPartForwarded();
+            pauseForSlowCaller();
         }
         if (mAnswerWriter.isTooLarge()) {
             mStateMachine.attemptFailed(AttemptFailure.BROKEN, false);
@@ -336,6 +337,16 @@
         return mCrashes.heldBackMilliseconds() == 0 && mDependencies.retries().take(service);
     }
 
+    /**
+     * Stops reading the answer until the caller has read enough. The connection of the caller tells
+     * only of changes, and it may have been full before this answer began.
+     */
+    private void pauseForSlowCaller() {
+        if (mExchange != null && !mCaller.isWritable()) {
+            mExchange.setReading(false);
+        }
+    }
+
     private void recordPace() {
         boolean stream = mResolved.route().kind() == RequestKind.STREAM;
         if (stream && mAnswerWriter.hasStarted()) {
