Bound the answer to each kind of call that a node makes

What callers saw: a node that ran out of memory because workers answered its requests for reports with bodies that do not end.

Cause: every call of the node itself kept up to 16 MiB of its answer, the largest that any call might need.

Fix: each call states its timeout and the maximum size of its answer (CallLimits). A call whose answer is larger fails at once and closes its connection.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/HttpCalls.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/HttpCalls.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
-import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
@@ -19,19 +18,17 @@
 import org.foxtailridge.forwarding.request.AttemptFailure;
 
 /**
- * HTTP client for calls with short bodies, each with a timeout. A call that times out or is
- * cancelled closes its connection; one that times out also closes the idle connections to its
- * address. Methods are called on the event loop, where the futures also complete.
+ * HTTP client for calls with short bodies, each with a timeout and a maximum size of its answer. A
+ * call that exceeds either, or is cancelled, closes its connection; one that times out also closes
+ * the idle connections to its address. Methods are called on the event loop, where the futures also
+ * complete.
  *
  * <pre>{@code
- * calls.call(address, HttpMethod.GET, "/report", new byte[0], Duration.ofMillis(500))
- *         .thenAccept(answer -> ...);
+ * CallLimits limits = new CallLimits(Duration.ofMillis(500), 65_536);
+ * calls.call(address, HttpMethod.GET, "/report", new byte[0], limits).thenAccept(answer -> ...);
  * }</pre>
  */
 public final class HttpCalls {
-    // Bounds the memory that one answer can occupy.
-    private static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
-
     private final EventLoop mLoop;
     private final EndpointConnections mConnections;
     private final int mConnectionsPerAddress;
@@ -49,8 +46,8 @@
             HttpMethod method,
             String target,
             byte[] body,
-            Duration timeout) {
-        return call(address, method, target, "application/json", body, timeout);
+            CallLimits limits) {
+        return call(address, method, target, "application/json", body, limits);
     }
 
     /** Sends a body of the given type; fails like the call of a JSON body. */
@@ -60,7 +57,7 @@
             String target,
             String contentType,
             byte[] body,
-            Duration timeout) {
+            CallLimits limits) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1, method, target, Unpooled.wrappedBuffer(body));
@@ -69,15 +66,16 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
         }
-        return call(address, request, timeout);
+        return call(address, request, limits);
     }
 
     /** Sends a request, of which the client takes ownership; fails like the other calls. */
     public CompletableFuture<HttpAnswer> call(
-            EndpointAddress address, FullHttpRequest request, Duration timeout) {
-        Call call = new Call(address, request.uri());
+            EndpointAddress address, FullHttpRequest request, CallLimits limits) {
+        Call call = new Call(address, request.uri(), limits.maximumAnswerBytes());
         call.mExchange = mConnections.start(address, mConnectionsPerAddress, true, request, call);
-        call.mTimer = mLoop.schedule(call::timeOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        call.mTimer =
+                mLoop.schedule(call::timeOut, limits.timeout().toMillis(), TimeUnit.MILLISECONDS);
         call.mFuture.whenComplete((answer, failure) -> call.closeIfCancelled());
         return call.mFuture;
     }
@@ -85,15 +83,17 @@
     private final class Call implements ExchangeListener {
         private final EndpointAddress mAddress;
         private final String mTarget;
+        private final int mMaximumAnswerBytes;
         private final CompletableFuture<HttpAnswer> mFuture = new CompletableFuture<>();
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private EndpointExchange mExchange;
         private ScheduledFuture<?> mTimer;
         private int mStatus;
 
-        private Call(EndpointAddress address, String target) {
+        private Call(EndpointAddress address, String target, int maximumAnswerBytes) {
             mAddress = address;
             mTarget = target;
+            mMaximumAnswerBytes = maximumAnswerBytes;
         }
 
         @Override
@@ -108,9 +108,11 @@
 
         @Override
         public void content(ByteBuf content) {
-            if (mBody.size() + content.readableBytes() > MAXIMUM_ANSWER_BYTES) {
+            if (mBody.size() + content.readableBytes() > mMaximumAnswerBytes) {
                 mExchange.cancel();
-                failed(AttemptFailure.BROKEN, "the answer is too large");
+                failed(
+                        AttemptFailure.BROKEN,
+                        "the answer is larger than " + mMaximumAnswerBytes + " bytes");
                 return;
             }
             byte[] bytes = new byte[content.readableBytes()];
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/HttpCallsTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/HttpCallsTest.java
@@ -31,6 +31,7 @@
 /** Guards reuse and limits of connections by calls over loopback to a server with Keep-Alive. */
 class HttpCallsTest {
     private static final Duration LONG = Duration.ofSeconds(20);
+    private static final int MAXIMUM_ANSWER_BYTES = 1_024;
 
     private final MultiThreadIoEventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -104,7 +105,12 @@
         mLoop.submit(
                         () -> {
                             CompletableFuture<HttpAnswer> answer =
-                                    mCalls.call(mAddress, HttpMethod.GET, "/", new byte[0], LONG);
+                                    mCalls.call(
+                                            mAddress,
+                                            HttpMethod.GET,
+                                            "/",
+                                            new byte[0],
+                                            new CallLimits(LONG, MAXIMUM_ANSWER_BYTES));
                             silent.whenComplete((unused, failure) -> answer.cancel(false));
                         })
                 .syncUninterruptibly();
@@ -123,7 +129,13 @@
 
     private CompletableFuture<HttpAnswer> start(String target, Duration timeout) {
         return CompletableFuture.supplyAsync(
-                        () -> mCalls.call(mAddress, HttpMethod.GET, target, new byte[0], timeout),
+                        () ->
+                                mCalls.call(
+                                        mAddress,
+                                        HttpMethod.GET,
+                                        target,
+                                        new byte[0],
+                                        new CallLimits(timeout, MAXIMUM_ANSWER_BYTES)),
                         mLoop)
                 .thenCompose(answer -> answer);
     }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/SilentConnectionsTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/SilentConnectionsTest.java
@@ -44,6 +44,7 @@
     private static final int CONNECTIONS = 4;
     private static final Duration SHORT = Duration.ofMillis(100);
     private static final Duration LONG = Duration.ofSeconds(20);
+    private static final int MAXIMUM_ANSWER_BYTES = 1_024;
 
     private final MultiThreadIoEventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -93,7 +94,13 @@
 
     private CompletableFuture<HttpAnswer> call(Duration timeout) {
         return CompletableFuture.supplyAsync(
-                        () -> mCalls.call(mAddress, HttpMethod.GET, "/", new byte[0], timeout),
+                        () ->
+                                mCalls.call(
+                                        mAddress,
+                                        HttpMethod.GET,
+                                        "/",
+                                        new byte[0],
+                                        new CallLimits(timeout, MAXIMUM_ANSWER_BYTES)),
                         mLoop)
                 .thenCompose(answer -> answer);
     }
