Fail a request when other bytes precede its answer without end

What callers saw: a request at a faulty endpoint that waited until its deadline, and a node kept busy meanwhile, if the endpoint sent interim heads, answers to other requests or the rest of one of them without end. A request that may be repeated lost the time for another endpoint.

Cause: what precedes an answer is skipped, as a late answer to an earlier request may come first, and nothing bounded how much is skipped. No memory is held, but the node decodes all of it on its event loop.

Fix: an exchange fails as broken, and its connection closes, after 16 skipped heads or 4 MiB before the head of its own answer. The decoder counts the bytes, so that blank lines, chunk framing and what follows a switch of protocols count too.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointAnswerDecoder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointAnswerDecoder.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.forwarding.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -20,6 +21,8 @@
 
     private boolean mExpectsAnswer;
     private boolean mHeadOnly;
+    private boolean mAnswerStarted;
+    private long mBytesBeforeAnswer;
 
     EndpointAnswerDecoder(HttpDecoderConfig config) {
         super(config);
@@ -33,6 +36,13 @@
     void expectAnswer(boolean headOnly) {
         mExpectsAnswer = true;
         mHeadOnly = headOnly;
+        mAnswerStarted = false;
+        mBytesBeforeAnswer = 0;
+    }
+
+    /** The head of the answer to the exchange's request has arrived. */
+    void answerStarted() {
+        mAnswerStarted = true;
     }
 
     /** Ends the exchange. */
@@ -40,6 +50,11 @@
         mExpectsAnswer = false;
     }
 
+    /** Returns the number of bytes that arrived in the exchange before its own answer. */
+    long bytesBeforeAnswer() {
+        return mAnswerStarted ? 0 : mBytesBeforeAnswer;
+    }
+
     /** Returns whether bytes have arrived that belong to no decoded message. */
     boolean hasUndecodedBytes() {
         return actualReadableBytes() > 0;
@@ -48,6 +63,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (mExpectsAnswer) {
+            mBytesBeforeAnswer += ((ByteBuf) message).readableBytes();
             super.channelRead(context, message);
         } else {
             ReferenceCountUtil.release(message);
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -29,8 +29,9 @@
  *
  * <p>Bytes that arrive without an exchange, or behind an answer, close the connection. An answer to
  * an earlier exchange is skipped, and the connection is not reused. An answer that does not state
- * its request fails the exchange. A body that is not framed ends with the connection, and is
- * complete only when the endpoint closes the connection without a reset.
+ * its request fails the exchange, and so do too many bytes or answers before its own. A body that
+ * is not framed ends with the connection, and is complete only when the endpoint closes the
+ * connection without a reset.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOGGER = LogManager.getLogger(EndpointConnection.class);
@@ -39,6 +40,9 @@
     // Subtracted from the timeout that the endpoint names; exceeds the time that a request takes to
     // reach an endpoint in the same region.
     private static final long IDLE_MARGIN_MILLISECONDS = 300;
+    // An endpoint that exceeds either of these is not expected to send the answer any more.
+    private static final int MAXIMUM_SKIPPED_ANSWERS = 16;
+    private static final long MAXIMUM_BYTES_BEFORE_ANSWER = 4 * 1024 * 1024;
 
     private final Owner mOwner;
     private EndpointAnswerDecoder mDecoder;
@@ -48,6 +52,7 @@
     private HttpResponse mHead;
     private ChannelFuture mRequestWritten;
     private boolean mSkipping;
+    private int mSkippedAnswers;
     // Set once an answer to an earlier exchange has arrived; the connection is not reused then.
     private boolean mUnmatchedAnswer;
     private boolean mReset;
@@ -78,6 +83,7 @@
         mDecoder.expectAnswer(request.method().equals(HttpMethod.HEAD));
         mHead = null;
         mSkipping = false;
+        mSkippedAnswers = 0;
         mRequestWritten = mChannel.writeAndFlush(request);
     }
 
@@ -120,6 +126,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mListener != null && mDecoder.bytesBeforeAnswer() > MAXIMUM_BYTES_BEFORE_ANSWER) {
+            failAndClose("no answer within " + MAXIMUM_BYTES_BEFORE_ANSWER + " bytes");
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mOwner.closed(this);
@@ -163,8 +177,14 @@
         }
         mSkipping = match == AnswerMatch.OTHER_REQUEST;
         mUnmatchedAnswer |= mSkipping && !interim;
-        if (!mSkipping) {
+        if (mSkipping) {
+            mSkippedAnswers++;
+            if (mSkippedAnswers > MAXIMUM_SKIPPED_ANSWERS) {
+                failAndClose("more than " + MAXIMUM_SKIPPED_ANSWERS + " other answers arrived");
+            }
+        } else {
             mHead = head;
+            mDecoder.answerStarted();
             mListener.head(head);
         }
     }
