--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -285,6 +285,7 @@
             }
             reportFirstToken();
             mStateMachine.answerPartForwarded(mAnswerWriter.isContinuable());
+            pauseForSlowCaller();
         }
         if (mAnswerWriter.isOutOfOrder()) {
             logStreamAttempt("out of order");
@@ -358,6 +359,16 @@
                                         mResolved, mStateMachine.endpoint(), attempt, end));
     }
 
+    /**
+     * Stops reading the answer until the caller has read enough. The connection of the caller tells
+     * only of changes, and it may have been full before this answer began.
+     */
+    private void pauseForSlowCaller() {
+        if (mExchange != null && !mCaller.isWritable()) {
+            mExchange.setReading(false);
+        }
+    }
+
     private void recordPace() {
         boolean stream = mResolved.route().kind() == RequestKind.STREAM;
         if (stream && mAnswerWriter.hasStarted()) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -31,9 +31,10 @@
  *
  * <p>Bytes that arrive without an exchange, or behind an answer, close the connection. An answer to
  * an earlier exchange is skipped, and the connection is not reused. An answer that does not state
- * its request fails the exchange. A body that is not framed ends with the connection, and is
- * complete only when the endpoint closes the connection without a reset and still accepts others:
- * the system closes the connections of a process that was killed in the same way.
+ * its request fails the exchange, and so do too many bytes or answers before its own. A body that
+ * is not framed ends with the connection, and is complete only when the endpoint closes the
+ * connection without a reset and still accepts others: the system closes the connections of a
+ * process that was killed in the same way.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOGGER = LogManager.getLogger(EndpointConnection.class);
@@ -42,6 +43,9 @@
     // Subtracted from the timeout that the endpoint names; exceeds the time that a request takes to
     // reach an endpoint in the same region.
     private static final long IDLE_MARGIN_MILLISECONDS = 300;
+    // An endpoint that exceeds either of these is not expected to send the answer any more.
+    private static final int MAXIMUM_SKIPPED_ANSWERS = 16;
+    private static final long MAXIMUM_BYTES_BEFORE_ANSWER = 4 * 1024 * 1024;
 
     private final Owner mOwner;
     private EndpointAnswerDecoder mDecoder;
@@ -51,6 +55,7 @@
     private HttpResponse mHead;
     private ChannelFuture mRequestWritten;
     private boolean mSkipping;
+    private int mSkippedAnswers;
     // Set once an answer to an earlier exchange has arrived; the connection is not reused then.
     private boolean mUnmatchedAnswer;
     private boolean mReset;
@@ -83,6 +88,7 @@
         mDecoder.expectAnswer(request.method().equals(HttpMethod.HEAD));
         mHead = null;
         mSkipping = false;
+        mSkippedAnswers = 0;
         mRequestWritten = mChannel.writeAndFlush(request);
         mRequestWritten.addListener(written -> mReset |= isReset(written.cause()));
     }
@@ -126,6 +132,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mListener != null && mDecoder.bytesBeforeAnswer() > MAXIMUM_BYTES_BEFORE_ANSWER) {
+            failAndClose("no answer within " + MAXIMUM_BYTES_BEFORE_ANSWER + " bytes");
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mOwner.closed(this);
@@ -173,8 +187,14 @@
         }
         mSkipping = match == AnswerMatch.OTHER_REQUEST;
         mUnmatchedAnswer |= mSkipping && !interim;
-        if (!mSkipping) {
+        if (mSkipping) {
+            mSkippedAnswers++;
+            if (mSkippedAnswers > MAXIMUM_SKIPPED_ANSWERS) {
+                failAndClose("more than " + MAXIMUM_SKIPPED_ANSWERS + " other answers arrived");
+            }
+        } else {
             mHead = head;
+            mDecoder.answerStarted();
             mListener.head(head);
         }
     }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/CutHeadOfCallTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/CutHeadOfCallTest.java
@@ -31,6 +31,7 @@
  */
 class CutHeadOfCallTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
+    private static final CallLimits LIMITS = new CallLimits(TIMEOUT, 1_024);
     private static final int CONNECTIONS = 1_000;
     private static final byte[] NO_BODY = {};
     // Never read by the process, so that its end resets the connection.
@@ -129,7 +130,7 @@
     private CompletableFuture<HttpAnswer> call(String target, byte[] body) {
         HttpMethod method = body.length == 0 ? HttpMethod.GET : HttpMethod.POST;
         return CompletableFuture.supplyAsync(
-                        () -> mCalls.call(mAddress, method, target, body, TIMEOUT), mLoop)
+                        () -> mCalls.call(mAddress, method, target, body, LIMITS), mLoop)
                 .thenCompose(answer -> answer);
     }
 
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/UnframedAnswerTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/UnframedAnswerTest.java
@@ -28,7 +28,7 @@
  */
 class UnframedAnswerTest {
     private static final String ANSWER = "HTTP/1.1 200 OK\r\n\r\nall";
-    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private static final CallLimits LIMITS = new CallLimits(Duration.ofSeconds(20), 1_024);
 
     private final MultiThreadIoEventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -84,8 +84,7 @@
     private CompletableFuture<HttpAnswer> call() {
         EndpointAddress address = EndpointAddress.parse("127.0.0.1:" + mEndpoint.getLocalPort());
         return CompletableFuture.supplyAsync(
-                        () -> mCalls.call(address, HttpMethod.GET, "/", new byte[0], TIMEOUT),
-                        mLoop)
+                        () -> mCalls.call(address, HttpMethod.GET, "/", new byte[0], LIMITS), mLoop)
                 .thenCompose(answer -> answer);
     }
 
