--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/PlatformFleet.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/PlatformFleet.java
@@ -96,6 +96,15 @@
                 .account("studio", LIMIT, LIMITED_KEY);
     }
 
+    /** Returns a configuration with a further service whose streams may, or may not, be resumed. */
+    public static OperatorConfiguration configurationWithStreams(long version, String service) {
+        return configuration(version)
+                .engines(service, 16, List.of(RawWorker.MODEL))
+                .route(HOST, "/" + service + "/", service, "streaming", TIMEOUT, 2)
+                .route(HOST, "/" + service + "-once/", service, "streaming", TIMEOUT, 2)
+                .notResumable();
+    }
+
     /** Returns a configuration with a further route for plain calls. */
     public static OperatorConfiguration configurationWithRoute(long version, String pathPrefix) {
         return configuration(version).route(HOST, pathPrefix, CALLS, "safe", TIMEOUT, 2);
--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/PlatformNodeProcess.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/PlatformNodeProcess.java
@@ -90,6 +90,16 @@
         mProcess.terminate();
     }
 
+    /** Stops the process without ending it, as a VM that hangs does. */
+    public void freeze() {
+        mProcess.signal("-STOP");
+    }
+
+    /** Lets a frozen process go on. */
+    public void thaw() {
+        mProcess.signal("-CONT");
+    }
+
     /** Waits until the process has ended. */
     public void waitForExit() {
         mProcess.waitForExit();
--- a/standins/src/main/java/org/foxtailridge/standins/platform/OperatorConfiguration.java
+++ b/standins/src/main/java/org/foxtailridge/standins/platform/OperatorConfiguration.java
@@ -105,6 +105,12 @@
         return this;
     }
 
+    /** Makes the streams of the route that was added last begin anew rather than go on. */
+    public OperatorConfiguration notResumable() {
+        ((ObjectNode) mRoutes.get(mRoutes.size() - 1)).put("resumable", false);
+        return this;
+    }
+
     /** Adds a client account whose limit counts tokens; a rate of 0 is no limit. */
     public OperatorConfiguration account(String name, long tokensPerSecond, String... keys) {
         ObjectNode account = mAccounts.addObject();
