--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/StreamOrderTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/StreamOrderTest.java
@@ -90,8 +90,38 @@
     }
 
     static Stream<Arguments> unframedStreamsThatEndBetweenEvents() {
-        return cases(
-                UNFRAMED, StreamFault.KILLED_BETWEEN_EVENTS, StreamFault.CLOSED_BETWEEN_EVENTS);
+        return cases(UNFRAMED, StreamFault.KILLED_BETWEEN_EVENTS);
+    }
+
+    // Guards against an unframed stream that ends as complete when its worker gives it up.
+    @ParameterizedTest(name = NAME)
+    @MethodSource("unframedStreamsThatAreGivenUp")
+    void should_not_complete_an_unframed_stream_that_its_worker_gave_up(
+            StreamFault fault, AnswerFraming framing, String target) {
+        // WHEN
+        ReceivedStream stream = receive(fault, framing, target);
+        // THEN
+        RawStreamFleet.assertOrder(stream, events());
+    }
+
+    static Stream<Arguments> unframedStreamsThatAreGivenUp() {
+        return cases(UNFRAMED, StreamFault.CLOSED_BETWEEN_EVENTS);
+    }
+
+    // Guards against sound streams that are broken off for want of length and chunks.
+    @ParameterizedTest(name = NAME)
+    @MethodSource("soundUnframedStreams")
+    void should_complete_an_unframed_stream_that_its_worker_ends(
+            StreamFault none, AnswerFraming framing, String target) {
+        // WHEN
+        ReceivedStream stream = receive(none, framing, target);
+        // THEN
+        assertThat(stream.complete()).isTrue();
+        assertThat(stream.events()).isEqualTo(events());
+    }
+
+    static Stream<Arguments> soundUnframedStreams() {
+        return cases(UNFRAMED, StreamFault.NONE);
     }
 
     // Guards against events that come twice or behind later ones.
