--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
@@ -4,11 +4,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.foxtailridge.forwarding.http.AnswerOutcome;
+import org.foxtailridge.forwarding.http.BodyFraming;
 import org.foxtailridge.forwarding.http.CallerExchange;
+import org.foxtailridge.forwarding.http.EventSequence;
 import org.foxtailridge.forwarding.http.EventSplitter;
 import org.foxtailridge.forwarding.http.RequestDialect;
 
@@ -31,6 +32,7 @@
     private final CallerExchange mCaller;
     private final RequestDialect mDialect;
     private final boolean mStreams;
+    private final EventSequence mSequence;
     private EventSplitter mSplitter = new EventSplitter();
     private ByteBuf mBuffered = Unpooled.EMPTY_BUFFER;
     private HttpResponse mHead;
@@ -40,12 +42,23 @@
     private boolean mStartedWithEvents;
     private boolean mForwardsEvents;
     private boolean mHasEventOfAttempt;
-    private String mLastEventId;
+    private Optional<String> mResumedAfter = Optional.empty();
 
-    AnswerWriter(CallerExchange caller, RequestDialect dialect, boolean streams) {
+    /**
+     * Creates a writer.
+     *
+     * @param streams whether the answer is a stream of events
+     * @param sequence order of the events of the stream
+     */
+    AnswerWriter(
+            CallerExchange caller,
+            RequestDialect dialect,
+            boolean streams,
+            EventSequence sequence) {
         mCaller = caller;
         mDialect = dialect;
         mStreams = streams;
+        mSequence = sequence;
     }
 
     /** Handles the head of an endpoint's answer, dropping any earlier one; returns its outcome. */
@@ -55,10 +68,15 @@
         mOutcome = mDialect.outcomeOf(head);
         String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
         mForwardsEvents = mStreams && isSuccess() && type.startsWith(EVENT_STREAM);
+        mResumedAfter = mSequence.lastEventId();
+        mSequence.startAttempt();
         return mOutcome;
     }
 
-    /** Handles a part of the body; returns whether any bytes were forwarded to the caller. */
+    /**
+     * Handles a part of the body; returns whether any bytes were forwarded to the caller. Events
+     * from the first on that is out of order are dropped.
+     */
     boolean content(ByteBuf content) {
         if (mForwardsEvents) {
             return forwardEvents(content);
@@ -84,6 +102,16 @@
                 || mBuffered.readableBytes() > MAXIMUM_EVENT_BYTES;
     }
 
+    /** Returns whether the current attempt sent an event that does not follow the ones before. */
+    boolean isOutOfOrder() {
+        return mSequence.violation().isPresent();
+    }
+
+    /** Returns whether another endpoint can continue the answer after what was forwarded. */
+    boolean isContinuable() {
+        return mStartedWithEvents && mSequence.isContinuable();
+    }
+
     /**
      * Returns whether the current attempt would end the answer to the caller, but can't: a part of
      * an earlier attempt was forwarded, and only the events of another one may follow events.
@@ -103,14 +131,27 @@
 
     /**
      * Returns whether a stream that ended was in fact broken off: inside an event, or, if the end
-     * of the connection is the only sign of its end, before the first event.
+     * of the connection is the only sign of its end, before the first event or without the type of
+     * a stream of events.
      */
     boolean isBrokenOff() {
-        boolean framed =
-                HttpUtil.isTransferEncodingChunked(mHead)
-                        || mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        return mForwardsEvents
-                && (mSplitter.partialBytes() > 0 || (!framed && !mHasEventOfAttempt));
+        boolean framed = BodyFraming.of(mHead) != BodyFraming.CONNECTION;
+        if (mForwardsEvents) {
+            return mSplitter.partialBytes() > 0 || (!framed && !mHasEventOfAttempt);
+        }
+        return mStreams && isSuccess() && !framed;
+    }
+
+    /** Returns the part of the stream that the current endpoint sent; empty without events. */
+    Optional<StreamAttempt> streamAttempt() {
+        return mHasEventOfAttempt
+                ? Optional.of(
+                        new StreamAttempt(
+                                BodyFraming.of(mHead),
+                                mResumedAfter,
+                                mSequence.lastEventId(),
+                                mSequence.violation()))
+                : Optional.empty();
     }
 
     /** Returns whether any part was forwarded to the caller. */
@@ -142,9 +183,9 @@
         mCaller.end();
     }
 
-    /** Returns the identifier of the last event forwarded to the caller; empty if there is none. */
+    /** Returns the identifier of the last event that the caller has; empty if there is none. */
     Optional<String> lastEventId() {
-        return Optional.ofNullable(mLastEventId);
+        return mSequence.lastEventId();
     }
 
     /** Releases the buffered bytes of the current attempt. */
@@ -159,6 +200,7 @@
 
     private boolean forwardEvents(ByteBuf content) {
         ByteBuf events = mSplitter.feed(content);
+        events.writerIndex(events.readerIndex() + mSequence.accept(events));
         if (!events.isReadable()) {
             events.release();
             return false;
@@ -167,7 +209,6 @@
         if (!mStarted) {
             startAnswer(OptionalLong.empty());
         }
-        mSplitter.lastEventId().ifPresent(id -> mLastEventId = id);
         mCaller.write(events);
         mCaller.flush();
         return true;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -17,6 +16,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.logging.log4j.LogManager;
@@ -29,8 +31,10 @@
  *
  * <p>Bytes that arrive without an exchange, or behind an answer, close the connection. An answer to
  * an earlier exchange is skipped, and the connection is not reused. An answer that does not state
- * its request fails the exchange. A body that is not framed ends with the connection, and is
- * complete only when the endpoint closes the connection without a reset.
+ * its request fails the exchange, and so do too many bytes or answers before its own. A body that
+ * is not framed ends with the connection, and is complete only when the endpoint closes the
+ * connection without a reset and still accepts others: the system closes the connections of a
+ * process that was killed in the same way.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOGGER = LogManager.getLogger(EndpointConnection.class);
@@ -39,6 +43,9 @@
     // Subtracted from the timeout that the endpoint names; exceeds the time that a request takes to
     // reach an endpoint in the same region.
     private static final long IDLE_MARGIN_MILLISECONDS = 300;
+    // An endpoint that exceeds either of these is not expected to send the answer any more.
+    private static final int MAXIMUM_SKIPPED_ANSWERS = 16;
+    private static final long MAXIMUM_BYTES_BEFORE_ANSWER = 4 * 1024 * 1024;
 
     private final Owner mOwner;
     private EndpointAnswerDecoder mDecoder;
@@ -48,9 +55,12 @@
     private HttpResponse mHead;
     private ChannelFuture mRequestWritten;
     private boolean mSkipping;
+    private int mSkippedAnswers;
     // Set once an answer to an earlier exchange has arrived; the connection is not reused then.
     private boolean mUnmatchedAnswer;
     private boolean mReset;
+    // Whether the end of an unframed body is being checked after the end of the connection.
+    private boolean mCheckingEnd;
     private long mIdleTimeoutMilliseconds;
     private long mIdleSinceMilliseconds;
 
@@ -78,7 +88,9 @@
         mDecoder.expectAnswer(request.method().equals(HttpMethod.HEAD));
         mHead = null;
         mSkipping = false;
+        mSkippedAnswers = 0;
         mRequestWritten = mChannel.writeAndFlush(request);
+        mRequestWritten.addListener(written -> mReset |= isReset(written.cause()));
     }
 
     /** Closes the connection without any further call of the exchange's listener. */
@@ -120,10 +132,20 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mListener != null && mDecoder.bytesBeforeAnswer() > MAXIMUM_BYTES_BEFORE_ANSWER) {
+            failAndClose("no answer within " + MAXIMUM_BYTES_BEFORE_ANSWER + " bytes");
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mOwner.closed(this);
-        fail(mReset ? "the connection was reset" : "the connection was closed");
+        if (!mCheckingEnd) {
+            fail(mReset ? "the connection was reset" : "the connection was closed");
+        }
     }
 
     @Override
@@ -151,7 +173,9 @@
     }
 
     private void readHead(HttpResponse head) {
-        if (head.decoderResult().isFailure() || !AnswerHeads.isOfOneAnswer(head)) {
+        if (head.decoderResult().isFailure()
+                || !AnswerHeads.isOfOneAnswer(head)
+                || !AnswerHeads.hasReadableBody(head)) {
             failAndClose("the answer has no readable head");
             return;
         }
@@ -163,8 +187,14 @@
         }
         mSkipping = match == AnswerMatch.OTHER_REQUEST;
         mUnmatchedAnswer |= mSkipping && !interim;
-        if (!mSkipping) {
+        if (mSkipping) {
+            mSkippedAnswers++;
+            if (mSkippedAnswers > MAXIMUM_SKIPPED_ANSWERS) {
+                failAndClose("more than " + MAXIMUM_SKIPPED_ANSWERS + " other answers arrived");
+            }
+        } else {
             mHead = head;
+            mDecoder.answerStarted();
             mListener.head(head);
         }
     }
@@ -189,11 +219,27 @@
     }
 
     private void complete() {
-        boolean framed = HttpUtil.isTransferEncodingChunked(mHead) || hasLength() || hasNoBody();
-        if (!framed && mReset) {
+        boolean framed = BodyFraming.of(mHead) != BodyFraming.CONNECTION;
+        if (framed || mChannel.isActive()) {
+            end(framed);
+        } else if (mReset) {
             fail("the connection was reset inside a body without a length");
-            return;
+        } else {
+            mCheckingEnd = true;
+            mOwner.checkAccepting(this::endUnframed);
         }
+    }
+
+    /** Ends an exchange whose body ended with the connection. */
+    private void endUnframed(boolean accepting) {
+        if (!accepting) {
+            fail("the endpoint was gone at the end of a body without a length");
+        } else if (mListener != null) {
+            end(false);
+        }
+    }
+
+    private void end(boolean framed) {
         ExchangeListener listener = mListener;
         mListener = null;
         boolean reusable =
@@ -214,13 +260,14 @@
         listener.complete();
     }
 
-    private boolean hasLength() {
-        return mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-    }
-
-    private boolean hasNoBody() {
-        int status = mHead.status().code();
-        return status == 204 || status == 304;
+    /**
+     * Returns whether a write failed because the endpoint reset the connection. The channel is then
+     * closed without {@link #exceptionCaught}; after an orderly close it is a closed channel that
+     * fails the write.
+     */
+    private static boolean isReset(Throwable writeFailure) {
+        return writeFailure instanceof IOException
+                && !(writeFailure instanceof ClosedChannelException);
     }
 
     /** Returns the idle timeout that the endpoint names, less a margin, or the default. */
@@ -252,6 +299,9 @@
         /** The connection is idle and can carry another exchange. */
         void becameIdle(EndpointConnection connection);
 
+        /** Tells whether the endpoint accepts connections, with a new one. */
+        void checkAccepting(Consumer<Boolean> result);
+
         /** The connection closed and can't be used any more. */
         void closed(EndpointConnection connection);
     }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/BrokenOffStreamTest.java
@@ -7,21 +7,16 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
-import java.util.OptionalLong;
-import org.foxtailridge.forwarding.http.AnswerMatch;
-import org.foxtailridge.forwarding.http.AnswerOutcome;
-import org.foxtailridge.forwarding.http.AttemptParameters;
-import org.foxtailridge.forwarding.http.CallerExchange;
-import org.foxtailridge.forwarding.http.CallerListener;
-import org.foxtailridge.forwarding.http.RequestDialect;
-import org.foxtailridge.forwarding.request.RequestMetadata;
+import java.util.Optional;
+import org.foxtailridge.forwarding.http.EventSequence;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a stream that reaches its caller as complete although its endpoint broke it off.
@@ -30,7 +25,12 @@
     private static final String FRAMED = "Transfer-Encoding: chunked";
     private static final String UNFRAMED = "Other: value";
 
-    private final AnswerWriter mWriter = new AnswerWriter(new Caller(), new Dialect(), true);
+    private final AnswerWriter mWriter =
+            new AnswerWriter(
+                    new RecordingCaller(),
+                    new StatusDialect(),
+                    true,
+                    new EventSequence(Optional.empty()));
 
     @ParameterizedTest(name = "{0}, [{1}]")
     @CsvSource({
@@ -56,6 +56,56 @@
         assertThat(mWriter.isBrokenOff()).isEqualTo(expected);
     }
 
+    @ParameterizedTest(name = "{0}, [{1}]")
+    @CsvSource({
+        UNFRAMED + ", 'id: 1\n\n', true",
+        UNFRAMED + ", 'id: 1\n\nid: 2\nda', true",
+        UNFRAMED + ", '1a\r\nid: 1\n\n\r\n0\r\n\r\n', true",
+        UNFRAMED + ", '', true",
+        FRAMED + ", 'id: 1\n\n', false",
+        "Content-Length: 7, 'id: 1\n\n', false",
+    })
+    void should_not_take_a_body_for_whole_when_neither_framing_nor_events_tell_its_end(
+            String framing, String body, boolean expected) {
+        // GIVEN a head of a stream that lost its content type
+        String[] field = framing.split(": ");
+        mWriter.head(head(200, new DefaultHttpHeaders().set(field[0], field[1])));
+
+        // WHEN
+        mWriter.content(Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+
+        // THEN
+        assertThat(mWriter.isBrokenOff()).isEqualTo(expected);
+    }
+
+    @Test
+    void should_take_an_unframed_body_of_a_route_without_streams_for_whole() {
+        // GIVEN
+        AnswerWriter writer =
+                new AnswerWriter(
+                        new RecordingCaller(),
+                        new StatusDialect(),
+                        false,
+                        new EventSequence(Optional.empty()));
+        writer.head(head(200, new DefaultHttpHeaders()));
+
+        // WHEN
+        writer.content(Unpooled.copiedBuffer("text", StandardCharsets.UTF_8));
+
+        // THEN
+        assertThat(writer.isBrokenOff()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {204, 404})
+    void should_take_an_answer_without_a_body_or_a_rejection_for_whole(int status) {
+        // WHEN
+        mWriter.head(head(status, new DefaultHttpHeaders()));
+
+        // THEN
+        assertThat(mWriter.isBrokenOff()).isFalse();
+    }
+
     @ParameterizedTest(name = "{0}, {1}: {2}")
     @CsvSource({
         "200, text/event-stream, false",
@@ -88,80 +138,11 @@
                 new DefaultHttpHeaders()
                         .set("Content-Type", "text/event-stream")
                         .set(field[0], field[1]);
-        return new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, headers);
-    }
-
-    private static final class Dialect implements RequestDialect {
-        @Override
-        public RequestMetadata readRequest(HttpRequest head) {
-            throw new AssertionError("expected no request");
-        }
-
-        @Override
-        public HttpHeaders headersToEndpoint(HttpRequest head, AttemptParameters parameters) {
-            throw new AssertionError("expected no request");
-        }
-
-        @Override
-        public AnswerMatch match(HttpResponse head, String requestId) {
-            return AnswerMatch.OWN;
-        }
-
-        @Override
-        public AnswerOutcome outcomeOf(HttpResponse head) {
-            return switch (head.status().code()) {
-                case 200 -> AnswerOutcome.SUCCESS;
-                case 404 -> AnswerOutcome.REJECTION;
-                case 500 -> AnswerOutcome.FAILURE;
-                default -> AnswerOutcome.FULL;
-            };
-        }
-
-        @Override
-        public HttpHeaders headersToCaller(HttpResponse head) {
-            return head.headers();
-        }
+        return head(200, headers);
     }
 
-    private static final class Caller implements CallerExchange {
-        @Override
-        public HttpRequest head() {
-            throw new AssertionError("expected no use of the request");
-        }
-
-        @Override
-        public ByteBuf body() {
-            return Unpooled.EMPTY_BUFFER;
-        }
-
-        @Override
-        public long arrivedMilliseconds() {
-            return 0;
-        }
-
-        @Override
-        public void setListener(CallerListener listener) {}
-
-        @Override
-        public void begin(int status, String reason, HttpHeaders headers, OptionalLong length) {}
-
-        @Override
-        public void write(ByteBuf content) {
-            content.release();
-        }
-
-        @Override
-        public void flush() {}
-
-        @Override
-        public void end() {}
-
-        @Override
-        public void abort() {}
-
-        @Override
-        public boolean isWritable() {
-            return true;
-        }
+    private static HttpResponse head(int status, HttpHeaders headers) {
+        return new DefaultHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
     }
 }
