--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/CutHeadTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/CutHeadTest.java
@@ -67,7 +67,18 @@
 
     @ParameterizedTest
     @EnumSource(Head.class)
-    void should_fail_when_the_head_of_a_skipped_answer_is_cut(Head head) {
+    void should_fail_when_the_head_of_a_late_answer_is_cut(Head head) {
+        for (int cut = 0; cut < head.length(); cut++) {
+            Exchange exchange = new Exchange();
+            exchange.receive(head.start(cut).replace("Id: own", "Id: other"));
+            exchange.mChannel.close();
+            exchange.expectFailure(head, cut);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Head.class)
+    void should_fail_when_a_head_behind_a_skipped_answer_is_cut(Head head) {
         for (int cut = 0; cut < head.length(); cut++) {
             Exchange exchange = new Exchange();
             exchange.receive(LATE_SUCCESS + head.start(cut));
