Test a process that is killed inside an unframed answer

UnframedAnswerTest has the case with a server in a process of its own. Both tests that start a process share the way they do so.

--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/CutHeadOfCallTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/CutHeadOfCallTest.java
@@ -9,8 +9,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.URISyntaxException;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
@@ -32,6 +30,9 @@
 class CutHeadOfCallTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final int CONNECTIONS = 1_000;
+    private static final int MAXIMUM_HEAD_BYTES = 1_024;
+    private static final ConnectionSettings SETTINGS =
+            new ConnectionSettings(TIMEOUT, TIMEOUT, TIMEOUT, MAXIMUM_HEAD_BYTES);
     private static final byte[] NO_BODY = {};
     // Never read by the process, so that its end resets the connection.
     private static final byte[] BODY = "unread".getBytes(US_ASCII);
@@ -42,31 +43,15 @@
     private final HttpCalls mCalls =
             new HttpCalls(
                     mLoop,
-                    new EndpointConnections(
-                            mLoop, ConnectionSettings.defaults(), MonotonicClock.start()),
+                    new EndpointConnections(mLoop, SETTINGS, MonotonicClock.start()),
                     CONNECTIONS);
     private Process mProcess;
     private BufferedReader mOutput;
     private EndpointAddress mAddress;
 
     @BeforeEach
-    void startProcess() throws IOException, URISyntaxException {
-        Path java = Path.of(System.getProperty("java.home"), "bin", "java");
-        Path classes =
-                Path.of(
-                        CutHeadProcess.class
-                                .getProtectionDomain()
-                                .getCodeSource()
-                                .getLocation()
-                                .toURI());
-        mProcess =
-                new ProcessBuilder(
-                                java.toString(),
-                                "-cp",
-                                classes.toString(),
-                                CutHeadProcess.class.getName())
-                        .redirectError(ProcessBuilder.Redirect.INHERIT)
-                        .start();
+    void startProcess() throws IOException {
+        mProcess = TestProcess.start(CutHeadProcess.class);
         mOutput = mProcess.inputReader();
         mAddress = new EndpointAddress("127.0.0.1", Integer.parseInt(mOutput.readLine()));
     }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/UnframedAnswerTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/UnframedAnswerTest.java
@@ -99,6 +99,24 @@
         }
     }
 
+    @Test
+    void should_reset_a_connection_whose_process_is_killed_inside_an_answer() throws Exception {
+        Process process = TestProcess.start(UnframedAnswerProcess.class);
+        int port = Integer.parseInt(process.inputReader().readLine());
+        try (Socket caller = connect(port)) {
+            // GIVEN
+            readHead(caller);
+
+            // WHEN
+            process.destroyForcibly().waitFor();
+
+            // THEN
+            expectReset(caller);
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     @Test
     void should_write_a_complete_answer_to_its_end() throws Exception {
         try (Socket caller = request()) {
@@ -119,10 +137,16 @@
     }
 
     private Socket request() throws IOException {
-        Socket caller = new Socket("127.0.0.1", mServer.address().getPort());
+        Socket caller = connect(mServer.address().getPort());
+        Awaitility.await().until(() -> mHandler.mExchange != null);
+        return caller;
+    }
+
+    /** Connects and sends a request. */
+    private static Socket connect(int port) throws IOException {
+        Socket caller = new Socket("127.0.0.1", port);
         caller.setSoTimeout(TIMEOUT_MILLISECONDS);
         caller.getOutputStream().write(REQUEST);
-        Awaitility.await().until(() -> mHandler.mExchange != null);
         return caller;
     }
 
