Look at the time that is left whenever a stopping node sends a request

Cause: StopRule was asked only when a request arrived. A request that waited for tokens, in the queue, for an adapter or for a retry was sent whatever time was left.

A request that was not sent is refused as not run (STOPPING, with Retry-After); one that may have run gets the error of its last attempt. An answer that has begun is continued at another endpoint as before. An idempotent call whose endpoint is silent waits on if it could not be retried.

No expectation was changed.

--- /dev/null
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/RequestsAtNodeStopTest.java
@@ -0,0 +1,121 @@
+package org.foxtailridge.endtoend;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.foxtailridge.endtoend.harness.CallerAnswer;
+import org.foxtailridge.endtoend.harness.PlatformFleet;
+import org.foxtailridge.endtoend.harness.PlatformNodeProcess;
+import org.foxtailridge.standins.platform.OperatorConfiguration;
+import org.foxtailridge.standins.platform.WorkerStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against requests that a stopping node passes on although they cannot end before its
+ * process.
+ */
+class RequestsAtNodeStopTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final int SOCKET_TIMEOUT_MILLISECONDS = 20_000;
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(12);
+
+    private PlatformFleet mFleet;
+    private WorkerStandin mWorker;
+
+    @BeforeEach
+    void start() throws IOException {
+        mFleet = PlatformFleet.start();
+    }
+
+    @AfterEach
+    void stop() {
+        if (mWorker != null) {
+            mWorker.close();
+        }
+        mFleet.close();
+    }
+
+    @Test
+    void should_not_cut_a_stream_that_waits_in_the_queue_of_a_stopping_node() throws IOException {
+        // GIVEN an engine that runs one stream at a time, each for 2 s
+        startChoir();
+        PlatformNodeProcess node = mFleet.node(1);
+        assertThat(mFleet.stream(node, "c1", "before").join().status()).isEqualTo(200);
+        try (Socket unfinished = sendHalf(node)) {
+            // WHEN the second stream could end in time only without the first one
+            node.terminate();
+            List<CompletableFuture<CallerAnswer>> streams =
+                    Stream.of(4_300, 4_900)
+                            .map(delay -> streamAfter(node, Duration.ofMillis(delay)))
+                            .toList();
+            // THEN
+            assertThat(statusesOf(streams)).containsOnly(200, 503);
+            assertThat(unfinished.isClosed()).isFalse();
+        }
+    }
+
+    private void startChoir() {
+        mWorker =
+                WorkerStandin.builder("i-choir", "choir", "nadi-b", mFleet.store())
+                        .model("c1")
+                        .slots(1)
+                        .streams(20, Duration.ofMillis(100))
+                        .start();
+        publish(
+                OperatorConfiguration.builder(2)
+                        .engines("choir", 1, List.of("c1"))
+                        .route("127.0.0.1", "/stream/", "choir", "streaming", CALL_TIMEOUT, 2)
+                        .account("auctions", 0, PlatformFleet.KEY),
+                "i-choir");
+    }
+
+    private void publish(OperatorConfiguration configuration, String worker) {
+        mFleet.store().publish(configuration.toJson());
+        await().atMost(PATIENCE)
+                .until(
+                        () ->
+                                mFleet.node(1).lines().contains(worker)
+                                        && mFleet.node(1).lines().contains("\"version\":2"));
+    }
+
+    /** Sends a request without the end of its body, which keeps a stopping node from its exit. */
+    private static Socket sendHalf(PlatformNodeProcess node) throws IOException {
+        URI address = URI.create(node.callers());
+        Socket caller = new Socket(address.getHost(), address.getPort());
+        caller.setSoTimeout(SOCKET_TIMEOUT_MILLISECONDS);
+        String request =
+                "POST /unsafe/lot HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: half\r\n"
+                        + "Authorization: Bearer "
+                        + PlatformFleet.KEY
+                        + "\r\nContent-Length: 10\r\n\r\nhalf";
+        caller.getOutputStream().write(request.getBytes(US_ASCII));
+        return caller;
+    }
+
+    private CompletableFuture<CallerAnswer> streamAfter(PlatformNodeProcess node, Duration delay) {
+        Executor delayed =
+                CompletableFuture.delayedExecutor(delay.toMillis(), TimeUnit.MILLISECONDS);
+        return CompletableFuture.supplyAsync(() -> "after " + delay, delayed)
+                .thenCompose(body -> mFleet.stream(node, "c1", body));
+    }
+
+    /** Returns the status of each answer; 0 for a connection that ended without a whole one. */
+    private static List<Integer> statusesOf(List<CompletableFuture<CallerAnswer>> answers) {
+        return answers.stream()
+                .map(answer -> answer.thenApply(CallerAnswer::status).exceptionally(cut -> 0))
+                .map(CompletableFuture::join)
+                .toList();
+    }
+}
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -79,7 +79,12 @@
         mLog = dependencies.log().lines();
         mStateMachine =
                 new RequestStateMachine(
-                        resolved, this::tryAcquireRetry, dependencies.clock(), this, mLog);
+                        resolved,
+                        this::tryAcquireRetry,
+                        forwarder::canEndInTime,
+                        dependencies.clock(),
+                        this,
+                        mLog);
     }
 
     void start() {
@@ -400,10 +405,7 @@
         mAttemptTimer =
                 mDependencies
                         .loop()
-                        .schedule(
-                                () -> mStateMachine.attemptFailed(AttemptFailure.SILENT, false),
-                                timeout,
-                                TimeUnit.MILLISECONDS);
+                        .schedule(mStateMachine::attemptTimedOut, timeout, TimeUnit.MILLISECONDS);
     }
 
     private static void cancel(ScheduledFuture<?> timer) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -103,7 +103,7 @@
      *
      * @param acceptAllUntil instant until which every request is accepted
      * @param end latest instant of the process's exit; from {@code acceptAllUntil} on, requests
-     *     that are not expected to end before are refused
+     *     that are not expected to end before are refused, also if they wait already
      */
     public void stop(Instant acceptAllUntil, Instant end) {
         mStopRule =
@@ -138,6 +138,13 @@
         }
     }
 
+    /** Refuses the requests that wait and can no longer end before the process exits. */
+    public void refuseLate() {
+        for (ForwardedRequest request : List.copyOf(mRequests.values())) {
+            request.stateMachine().refuseIfLate();
+        }
+    }
+
     @Override
     public void handle(CallerExchange exchange) {
         RequestMetadata metadata;
@@ -160,8 +167,7 @@
             return;
         }
         ResolvedRequest resolved = resolution.resolved().get();
-        long now = mDependencies.clock().millis();
-        if (mStopRule.isPresent() && !mStopRule.get().accepts(resolved, now)) {
+        if (!canEndInTime(resolved)) {
             refuse(
                     exchange,
                     metadata,
@@ -294,6 +300,12 @@
         mScheduler.attemptEnded(attempt.attemptId(), outcome, events);
     }
 
+    /** Returns whether a request that is sent now is expected to end before a planned stop does. */
+    boolean canEndInTime(ResolvedRequest resolved) {
+        long now = mDependencies.clock().millis();
+        return mStopRule.map(rule -> rule.accepts(resolved, now)).orElse(true);
+    }
+
     StreamPace pace() {
         return mPace;
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/StopRule.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/StopRule.java
@@ -4,7 +4,7 @@
 import org.foxtailridge.forwarding.request.ResolvedRequest;
 
 /**
- * Admission rule for requests that arrive during a planned stop of the node.
+ * Admission rule for requests that arrive, or are to be sent, during a planned stop of the node.
  *
  * <p>Callers still connect to a stopping node until the platform notices the stop, and longer when
  * too few other nodes of the data centre accept connections. A request that is expected to end
@@ -31,10 +31,10 @@
     }
 
     /**
-     * Returns whether to accept a request.
+     * Returns whether to accept a request, or to send one that was accepted earlier.
      *
      * @param resolved the request
-     * @param now instant of its arrival, in milliseconds since the epoch
+     * @param now current instant, in milliseconds since the epoch
      */
     boolean accepts(ResolvedRequest resolved, long now) {
         return now < mAcceptAllUntilMilliseconds
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -255,6 +255,7 @@
      * are in rotation.
      */
     private void drain(Instant end, CompletableFuture<Void> stopped) {
+        mForwarder.refuseLate();
         mCallers.closeIdle(IDLE_TIMEOUT_AT_STOP);
         boolean timedOut = !mClock.instant().isBefore(end);
         if (mCallers.busyConnections() == 0 || timedOut) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestStateMachine.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestStateMachine.java
@@ -19,7 +19,8 @@
  *
  * <pre>{@code
  * RequestStateMachine request =
- *         new RequestStateMachine(resolved, retryBudget, clock, outbox, listener);
+ *         new RequestStateMachine(
+ *                 resolved, retryBudget, stopPolicy, clock, outbox, listener);
  * request.start();                        // calls outbox.reserve() or outbox.submit(...)
  * request.tokensGranted();                // calls outbox.submit(...)
  * request.dispatched(endpoint, false);    // calls outbox.send(endpoint)
@@ -30,6 +31,7 @@
 public final class RequestStateMachine {
     private final ResolvedRequest mResolved;
     private final RetryBudget mRetryBudget;
+    private final StopPolicy mStopPolicy;
     private final Clock mClock;
     private final RequestOutbox mOutbox;
     private final RequestListener mListener;
@@ -47,11 +49,13 @@
     public RequestStateMachine(
             ResolvedRequest resolved,
             RetryBudget retryBudget,
+            StopPolicy stopPolicy,
             Clock clock,
             RequestOutbox outbox,
             RequestListener listener) {
         mResolved = Objects.requireNonNull(resolved, "resolved");
         mRetryBudget = Objects.requireNonNull(retryBudget, "retryBudget");
+        mStopPolicy = Objects.requireNonNull(stopPolicy, "stopPolicy");
         mClock = Objects.requireNonNull(clock, "clock");
         mOutbox = Objects.requireNonNull(outbox, "outbox");
         mListener = Objects.requireNonNull(listener, "listener");
@@ -73,6 +77,7 @@
      */
     public void tokensGranted() {
         mReserved = true;
+        refuseIfLate();
         if (mPhase == RequestPhase.RESERVING) {
             submitToQueue();
         } else {
@@ -106,6 +111,7 @@
 
     /**
      * Sends the request to the endpoint that the queue has chosen, or loads its adapter first.
+     * Refuses it if it can no longer end before the node does.
      *
      * @param endpoint the endpoint
      * @param mustLoadAdapter whether the endpoint has to load the adapter first
@@ -114,6 +120,11 @@
         if (mPhase != RequestPhase.QUEUED) {
             return;
         }
+        if (!canEndInTime()) {
+            mOutbox.endAttempt(AttemptOutcome.CANCELLED);
+            finish(ErrorKind.STOPPING, 0);
+            return;
+        }
         mEndpoint = endpoint;
         if (mustLoadAdapter) {
             transitionTo(RequestPhase.PREPARING);
@@ -123,8 +134,9 @@
         }
     }
 
-    /** Sends the request after the endpoint has loaded the adapter. */
+    /** Sends the request after the endpoint has loaded the adapter, if it can still end in time. */
     public void adapterLoaded() {
+        refuseIfLate();
         if (mPhase == RequestPhase.PREPARING) {
             send();
         }
@@ -169,7 +181,15 @@
             mExcludedEndpoints.add(mEndpoint);
             submitToQueue();
         } else {
-            finish(errorKindFor(failure), 0);
+            boolean stops = !mMayHaveRun && !canEndInTime();
+            finish(stops ? ErrorKind.STOPPING : errorKindFor(failure), 0);
+        }
+    }
+
+    /** Ends an attempt without an answer so far, if the request can be retried. */
+    public void attemptTimedOut() {
+        if (canRetry()) {
+            attemptFailed(AttemptFailure.SILENT, false);
         }
     }
 
@@ -179,13 +199,14 @@
      * @param retryAfterMilliseconds time after which a retry may succeed
      */
     public void heldBack(long retryAfterMilliseconds) {
-        if (mPhase == RequestPhase.ENDED || isSent()) {
-            return;
-        }
-        if (isAttemptInProgress()) {
-            mOutbox.endAttempt(AttemptOutcome.CANCELLED);
+        refuseUnlessSent(ErrorKind.NO_ENDPOINT, retryAfterMilliseconds);
+    }
+
+    /** Ends the request, unless it is sent, if it can no longer end before a stopping node does. */
+    public void refuseIfLate() {
+        if (!canEndInTime()) {
+            refuseUnlessSent(ErrorKind.STOPPING, 0);
         }
-        finish(ErrorKind.NO_ENDPOINT, retryAfterMilliseconds);
     }
 
     /** Ends the request because its deadline has passed. */
@@ -249,6 +270,16 @@
         return (mResolved.route().isRepeatable() || !isSent()) && hasEndpointLeft() && hasTime();
     }
 
+    private void refuseUnlessSent(ErrorKind kind, long retryAfterMilliseconds) {
+        if (mPhase == RequestPhase.ENDED || isSent()) {
+            return;
+        }
+        if (isAttemptInProgress()) {
+            mOutbox.endAttempt(AttemptOutcome.CANCELLED);
+        }
+        finish(kind, retryAfterMilliseconds);
+    }
+
     private void submitToQueue() {
         transitionTo(RequestPhase.QUEUED);
         mOutbox.submit(Set.copyOf(mExcludedEndpoints), mMayHaveRun);
@@ -305,7 +336,12 @@
 
     private boolean hasTime() {
         long remaining = mResolved.deadlineMilliseconds() - mClock.millis();
-        return remaining > RequestTiming.MINIMUM_ATTEMPT_MILLISECONDS;
+        return remaining > RequestTiming.MINIMUM_ATTEMPT_MILLISECONDS && canEndInTime();
+    }
+
+    /** An answer that has begun is continued, as its caller cannot be refused any more. */
+    private boolean canEndInTime() {
+        return mAnswerStarted || mStopPolicy.canEndInTime(mResolved);
     }
 
     private ErrorKind errorKindFor(AttemptFailure failure) {
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestStateMachineTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestStateMachineTest.java
@@ -280,12 +280,14 @@
                 stateMachine(
                         kind, resumable, 1 + random.nextInt(3), random.nextBoolean(), recorder);
         stateMachine.start();
+        boolean stops = random.nextBoolean();
         boolean mayHaveRun = false;
         for (int step = 0; step < 40; step++) {
             boolean sent =
                     stateMachine.phase() == RequestPhase.SENT
                             || stateMachine.phase() == RequestPhase.ANSWERING;
             mayHaveRun |= step(stateMachine, random) && sent;
+            recorder.mCanEndInTime &= !stops || random.nextInt(20) > 0;
         }
         stateMachine.callerLeft();
 
@@ -305,7 +307,7 @@
     /** Applies a random event; returns whether a request that was sent may have run after it. */
     private static boolean step(RequestStateMachine stateMachine, Random random) {
         EndpointName endpoint = EndpointName.of("endpoint-" + random.nextInt(4));
-        switch (random.nextInt(9)) {
+        switch (random.nextInt(10)) {
             case 0 -> stateMachine.tokensGranted();
             case 1 -> stateMachine.tokensRefused(ErrorKind.RATE_EXCEEDED, 100);
             case 2, 3 -> stateMachine.dispatched(endpoint, random.nextInt(4) == 0);
@@ -323,6 +325,7 @@
                     return true;
                 }
             }
+            case 8 -> stateMachine.refuseIfLate();
             default -> stateMachine.refusedByQueue(ErrorKind.OVERLOADED, 0);
         }
         return false;
@@ -349,9 +352,10 @@
         return new RequestStateMachine(
                 resolved(kind, resumable, endpoints, limited),
                 service -> recorder.mHasRetryBudget,
+                request -> recorder.mCanEndInTime,
                 mClock,
                 recorder,
-                recorder);
+                new IgnoringListener());
     }
 
     static ResolvedRequest resolved(
@@ -394,10 +398,11 @@
                 "run", metadata, route, "service", account, 0, TIME_MILLISECONDS, limited ? 5 : 0);
     }
 
-    private static final class Recorder implements RequestOutbox, RequestListener {
+    private static final class Recorder implements RequestOutbox {
         private final List<String> mCalls = new ArrayList<>();
         private Set<EndpointName> mExcluded = Set.of();
         private boolean mHasRetryBudget = true;
+        private boolean mCanEndInTime = true;
 
         private long sends() {
             return mCalls.stream().filter(call -> call.startsWith("send ")).count();
@@ -468,29 +473,5 @@
         public void ended() {
             mCalls.add("ended");
         }
-
-        @Override
-        public void sent(ResolvedRequest resolved, EndpointName endpoint, int endpointsTried) {}
-
-        @Override
-        public void attemptFailed(
-                ResolvedRequest resolved,
-                EndpointName endpoint,
-                AttemptFailure failure,
-                boolean willRetry) {}
-
-        @Override
-        public void answered(ResolvedRequest resolved, EndpointName endpoint) {}
-
-        @Override
-        public void failed(
-                ResolvedRequest resolved,
-                RequestPhase phase,
-                ErrorKind kind,
-                boolean mayHaveRun,
-                boolean hasBufferedAnswer) {}
-
-        @Override
-        public void callerLeft(ResolvedRequest resolved, RequestPhase phase) {}
     }
 }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/request/TestRequests.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/request/TestRequests.java
@@ -25,6 +25,9 @@
     private Optional<Duration> mEventTimeout = Optional.empty();
     private long mArrivedMilliseconds;
     private long mTimeMilliseconds = 15_000;
+    private int mMaximumEndpoints = 1;
+    private boolean mResumable;
+    private long mCountedTokens;
 
     private TestRequests(RequestKind kind) {
         mKind = kind;
@@ -65,6 +68,24 @@
         return this;
     }
 
+    /** Sets to how many endpoints the request may be sent; 1 by default. */
+    public TestRequests maximumEndpoints(int endpoints) {
+        mMaximumEndpoints = endpoints;
+        return this;
+    }
+
+    /** Allows to resume the stream at another endpoint. */
+    public TestRequests resumable() {
+        mResumable = true;
+        return this;
+    }
+
+    /** Sets the tokens that the request takes from a limit; 0 by default. */
+    public TestRequests countedTokens(long tokens) {
+        mCountedTokens = tokens;
+        return this;
+    }
+
     /** Builds a request on an open route with one service. */
     public ResolvedRequest build() {
         ForwardingRoute route =
@@ -77,9 +98,9 @@
                         Duration.ofMillis(400),
                         0,
                         List.of(new WeightedService("service", 1)),
-                        1,
+                        mMaximumEndpoints,
                         true,
-                        false,
+                        mResumable,
                         Optional.empty(),
                         mEventTimeout);
         RequestMetadata metadata =
@@ -103,6 +124,6 @@
                 Optional.empty(),
                 mArrivedMilliseconds,
                 mArrivedMilliseconds + mTimeMilliseconds,
-                0);
+                mCountedTokens);
     }
 }
