Answer the requests that are under way when a stopping node exits

What callers saw: a call that was sent to a worker before or early in the stop and was still running at its end got a closed connection instead of an answer, among them calls that may not be repeated.

Cause: the node closed all connections of callers at the end of the stop, whatever state their requests were in.

Only an answer that has begun is cut. The answer is written before the connection closes, on the same event loop; PlannedStopTest shows that it arrives.

The property test of RequestStateMachineTest has it as a further event; no expectation was changed.

--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/RequestsAtNodeStopTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/RequestsAtNodeStopTest.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.net.URI;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -24,12 +25,12 @@
 
 /**
  * Guards against requests that a stopping node passes on although they cannot end before its
- * process.
+ * process, and against connections that it closes without an answer.
  */
 class RequestsAtNodeStopTest {
     private static final Duration PATIENCE = Duration.ofSeconds(30);
-    private static final int SOCKET_TIMEOUT_MILLISECONDS = 20_000;
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(12);
+    private static final int SOCKET_TIMEOUT_MILLISECONDS = 20_000;
 
     private PlatformFleet mFleet;
     private WorkerStandin mWorker;
@@ -47,6 +48,18 @@
         mFleet.close();
     }
 
+    @Test
+    void should_answer_a_call_that_is_still_running_at_the_end_of_the_stop() {
+        // GIVEN
+        startVault(4, Duration.ofSeconds(11));
+        List<CompletableFuture<CallerAnswer>> calls = call(mFleet.node(1), 3);
+        await().atMost(PATIENCE).until(() -> mWorker.executions().size() == 3);
+        // WHEN
+        mFleet.node(1).terminate();
+        // THEN
+        assertThat(statusesOf(calls)).containsOnly(504);
+    }
+
     @Test
     void should_not_cut_a_stream_that_waits_in_the_queue_of_a_stopping_node() throws IOException {
         // GIVEN an engine that runs one stream at a time, each for 2 s
@@ -66,6 +79,19 @@
         }
     }
 
+    private void startVault(int slots, Duration answerTime) {
+        mWorker =
+                WorkerStandin.builder("i-vault", "vault", "nadi-b", mFleet.store())
+                        .slots(slots)
+                        .answerTime(answerTime)
+                        .start();
+        publish(
+                PlatformFleet.configuration(2)
+                        .service("vault", 100)
+                        .route("127.0.0.1", "/vault/", "vault", "unsafe", CALL_TIMEOUT, 2),
+                "i-vault");
+    }
+
     private void startChoir() {
         mWorker =
                 WorkerStandin.builder("i-choir", "choir", "nadi-b", mFleet.store())
@@ -90,6 +116,21 @@
                                         && mFleet.node(1).lines().contains("\"version\":2"));
     }
 
+    private List<CompletableFuture<CallerAnswer>> call(PlatformNodeProcess node, int count) {
+        List<CompletableFuture<CallerAnswer>> calls = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            calls.add(
+                    mFleet.call(
+                            node,
+                            "POST",
+                            "/vault/lot",
+                            PlatformFleet.KEY,
+                            "call " + number,
+                            CALL_TIMEOUT));
+        }
+        return calls;
+    }
+
     /** Sends a request without the end of its body, which keeps a stopping node from its exit. */
     private static Socket sendHalf(PlatformNodeProcess node) throws IOException {
         URI address = URI.create(node.callers());
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -145,6 +145,13 @@
         }
     }
 
+    /** Ends all requests at the end of a planned stop: answers each whose answer has not begun. */
+    public void endAll() {
+        for (ForwardedRequest request : List.copyOf(mRequests.values())) {
+            request.stateMachine().nodeExits();
+        }
+    }
+
     @Override
     public void handle(CallerExchange exchange) {
         RequestMetadata metadata;
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -259,10 +259,10 @@
         mCallers.closeIdle(IDLE_TIMEOUT_AT_STOP);
         boolean timedOut = !mClock.instant().isBefore(end);
         if (mCallers.busyConnections() == 0 || timedOut) {
+            int underWay = mForwarder.underWay();
+            mForwarder.endAll();
             mCallers.close();
-            LogEvent.named("node_stopped")
-                    .number("requests_under_way", mForwarder.underWay())
-                    .writeTo(LOGGER);
+            LogEvent.named("node_stopped").number("requests_under_way", underWay).writeTo(LOGGER);
             stopped.complete(null);
             return;
         }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestStateMachine.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/request/RequestStateMachine.java
@@ -211,15 +211,12 @@
 
     /** Ends the request because its deadline has passed. */
     public void deadlinePassed() {
-        if (mPhase == RequestPhase.ENDED) {
-            return;
-        }
-        mMayHaveRun |= isSent();
-        if (isAttemptInProgress()) {
-            mOutbox.endAttempt(AttemptOutcome.CANCELLED);
-        }
-        boolean mayHaveRun = mMayHaveRun;
-        finish(mayHaveRun ? ErrorKind.ANSWER_TIMEOUT : ErrorKind.DEADLINE_UNREACHABLE, 0);
+        endWithoutAnswer(ErrorKind.DEADLINE_UNREACHABLE);
+    }
+
+    /** Ends the request because the node exits; only an answer that has begun is cut. */
+    public void nodeExits() {
+        endWithoutAnswer(ErrorKind.STOPPING);
     }
 
     /** Ends the request because its API key was withdrawn; discards a buffered answer. */
@@ -280,6 +277,17 @@
         finish(kind, retryAfterMilliseconds);
     }
 
+    private void endWithoutAnswer(ErrorKind kindIfNotRun) {
+        if (mPhase == RequestPhase.ENDED) {
+            return;
+        }
+        mMayHaveRun |= isSent();
+        if (isAttemptInProgress()) {
+            mOutbox.endAttempt(AttemptOutcome.CANCELLED);
+        }
+        finish(mMayHaveRun ? ErrorKind.ANSWER_TIMEOUT : kindIfNotRun, 0);
+    }
+
     private void submitToQueue() {
         transitionTo(RequestPhase.QUEUED);
         mOutbox.submit(Set.copyOf(mExcludedEndpoints), mMayHaveRun);
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/PlannedStopTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/PlannedStopTest.java
@@ -82,6 +82,28 @@
         }
     }
 
+    @Test
+    void should_write_an_answer_that_is_given_right_before_the_close() throws Exception {
+        // GIVEN a request that is not answered yet
+        mHandler.mHoldsAnswers = true;
+        try (Socket caller = connect()) {
+            caller.getOutputStream().write(REQUEST);
+            Awaitility.await().until(() -> mHandler.mHeld != null);
+
+            // WHEN
+            mLoop.submit(
+                            () -> {
+                                mHandler.answer(mHandler.mHeld);
+                                mServer.close();
+                            })
+                    .syncUninterruptibly();
+
+            // THEN
+            String answer = new String(caller.getInputStream().readAllBytes(), US_ASCII);
+            assertThat(answer).startsWith("HTTP/1.1 200 ").endsWith("\r\n\r\n\0\0");
+        }
+    }
+
     private int onLoop(Callable<Integer> count) throws Exception {
         return mLoop.submit(count).get(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
@@ -122,10 +144,20 @@
 
         private volatile int mAnswerBytes = SHORT_BYTES;
         private volatile int mHandled;
+        private volatile boolean mHoldsAnswers;
+        private volatile CallerExchange mHeld;
 
         @Override
         public void handle(CallerExchange exchange) {
             mHandled++;
+            if (mHoldsAnswers) {
+                mHeld = exchange;
+            } else {
+                answer(exchange);
+            }
+        }
+
+        private void answer(CallerExchange exchange) {
             exchange.begin(200, "OK", new DefaultHttpHeaders(), OptionalLong.of(mAnswerBytes));
             exchange.write(Unpooled.wrappedBuffer(new byte[mAnswerBytes]));
             exchange.end();
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestStateMachineTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/request/RequestStateMachineTest.java
@@ -307,7 +307,7 @@
     /** Applies a random event; returns whether a request that was sent may have run after it. */
     private static boolean step(RequestStateMachine stateMachine, Random random) {
         EndpointName endpoint = EndpointName.of("endpoint-" + random.nextInt(4));
-        switch (random.nextInt(10)) {
+        switch (random.nextInt(11)) {
             case 0 -> stateMachine.tokensGranted();
             case 1 -> stateMachine.tokensRefused(ErrorKind.RATE_EXCEEDED, 100);
             case 2, 3 -> stateMachine.dispatched(endpoint, random.nextInt(4) == 0);
@@ -326,6 +326,12 @@
                 }
             }
             case 8 -> stateMachine.refuseIfLate();
+            case 9 -> {
+                if (random.nextInt(4) == 0) {
+                    stateMachine.nodeExits();
+                    return true;
+                }
+            }
             default -> stateMachine.refusedByQueue(ErrorKind.OVERLOADED, 0);
         }
         return false;
--- a/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
+++ b/standins/src/main/java/org/foxtailridge/standins/platform/WorkerStandin.java
@@ -198,7 +198,7 @@
             stream(exchange, execution);
         } else {
             String text = textOf(execution.method(), execution.target(), execution.body());
-            answer(exchange, text);
+            mLoop.after(mSettings.mAnswerTime, () -> answer(exchange, text));
         }
     }
 
@@ -346,6 +346,7 @@
         private int mSlots = 16;
         private int mEvents = 20;
         private Duration mBetweenEvents = Duration.ofMillis(2);
+        private Duration mAnswerTime = Duration.ZERO;
         private Duration mLoadTime = Duration.ofMillis(100);
 
         private Builder(String id, String service, String dataCentre, StoreStandin store) {
@@ -379,6 +380,12 @@
             return this;
         }
 
+        /** Sets how long it runs a request that names no model; no time by default. */
+        public Builder answerTime(Duration time) {
+            mAnswerTime = time;
+            return this;
+        }
+
         /** Sets how long it takes to load or drop a model. */
         public Builder loadTime(Duration time) {
             mLoadTime = time;
