Refuse a request whose body is incomplete when a stopping node exits

What callers saw: a request whose body was still arriving at the end of the planned stop of its node got a closed connection, which does not tell whether it may have run.

Cause: CallerServer.close() closed the connection whatever had arrived.

A request that is not complete was never passed on, so the node now refuses it as not run (STOPPING, with Retry-After) before it closes the connection.

Evidence: PlannedStopTest (1 of 4 cases) and RequestsAtNodeStopTest, with real processes, failed before with an empty answer and hold now. The handler of PlannedStopTest allows refusals of the kind STOPPING and, as before, no other.

--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/RequestsAtNodeStopTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/RequestsAtNodeStopTest.java
@@ -79,6 +79,19 @@
         }
     }
 
+    @Test
+    void should_refuse_a_request_whose_body_is_incomplete_at_the_end_of_the_stop()
+            throws IOException {
+        // GIVEN
+        try (Socket caller = sendHalf(mFleet.node(1))) {
+            // WHEN
+            mFleet.node(1).terminate();
+            // THEN
+            String answer = new String(caller.getInputStream().readAllBytes(), US_ASCII);
+            assertThat(answer).startsWith("HTTP/1.1 503 ").containsIgnoringCase("retry-after: ");
+        }
+    }
+
     private void startVault(int slots, Duration answerTime) {
         mWorker =
                 WorkerStandin.builder("i-vault", "vault", "nadi-b", mFleet.store())
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerConnection.java
@@ -21,6 +21,9 @@
 import java.time.Clock;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -87,8 +90,15 @@
         }
     }
 
-    /** Closes the connection whatever its state. */
+    /** Closes the connection whatever its state; a request that is still arriving is refused. */
     void close() {
+        if (mIncoming != null) {
+            ErrorAnswer answer = ErrorTable.answerTo(ErrorKind.STOPPING);
+            refuse(
+                    HttpResponseStatus.valueOf(answer.status()),
+                    ErrorKind.STOPPING,
+                    "node stopped before the body was complete");
+        }
         mClosing = true;
         mChannel.close();
     }
@@ -267,12 +277,19 @@
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
         response.headers()
+                .set(ErrorBody.headers(retryAfterMilliseconds(kind)))
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
-                .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
+    private static OptionalLong retryAfterMilliseconds(ErrorKind kind) {
+        OptionalInt seconds = ErrorTable.answerTo(kind).retryAfterSeconds();
+        return seconds.isPresent()
+                ? OptionalLong.of(TimeUnit.SECONDS.toMillis(seconds.getAsInt()))
+                : OptionalLong.empty();
+    }
+
     private void releaseIncoming() {
         if (mIncoming != null) {
             mIncoming.release();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/CallerServer.java
@@ -88,8 +88,9 @@
     }
 
     /**
-     * Closes the address and every connection. A request that arrives afterwards is not read, so
-     * that its caller may send it to another node.
+     * Closes the address and every connection. A request whose body is still arriving is refused as
+     * not run; one that arrives afterwards is not read, so that its caller may send it to another
+     * node.
      */
     public void close() {
         if (mChannel != null) {
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/PlannedStopTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/PlannedStopTest.java
@@ -26,6 +26,8 @@
 /** Guards against requests and answers that are cut off by the end of a planned stop. */
 class PlannedStopTest {
     private static final byte[] REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(US_ASCII);
+    private static final byte[] HALF_A_REQUEST =
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf".getBytes(US_ASCII);
     // More than the buffers of both sockets hold.
     private static final int LARGE_BYTES = 32 * 1024 * 1024;
     private static final int TIMEOUT_MILLISECONDS = 20_000;
@@ -104,6 +106,26 @@
         }
     }
 
+    @Test
+    void should_refuse_a_request_whose_body_is_incomplete_when_it_closes() throws Exception {
+        // GIVEN
+        try (Socket caller = connect()) {
+            caller.getOutputStream().write(HALF_A_REQUEST);
+            Awaitility.await().until(() -> onLoop(mServer::busyConnections) == 1);
+
+            // WHEN
+            mLoop.submit(mServer::close).syncUninterruptibly();
+
+            // THEN
+            String answer = new String(caller.getInputStream().readAllBytes(), US_ASCII);
+            assertThat(answer)
+                    .startsWith("HTTP/1.1 503 ")
+                    .containsIgnoringCase("retry-after: ")
+                    .contains("stopping");
+            assertThat(mHandler.mHandled).isZero();
+        }
+    }
+
     private int onLoop(Callable<Integer> count) throws Exception {
         return mLoop.submit(count).get(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
@@ -175,7 +197,9 @@
 
         @Override
         public void refused(ErrorKind kind, String reason) {
-            throw new IllegalStateException(reason);
+            if (kind != ErrorKind.STOPPING) {
+                throw new IllegalStateException(reason);
+            }
         }
     }
 }
