--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/StoppingRequestTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/StoppingRequestTest.java
@@ -149,7 +149,7 @@
         // GIVEN
         RequestStateMachine request = started(stream().maximumEndpoints(3).resumable());
         request.dispatched(ONE, false);
-        request.answerPartForwarded();
+        request.answerPartForwarded(true);
         // WHEN
         mClock.advance(TOO_LATE);
         request.attemptFailed(AttemptFailure.BROKEN, false);
@@ -180,7 +180,7 @@
         RequestStateMachine request = started(stream());
         request.dispatched(ONE, false);
         if (answerHasBegun) {
-            request.answerPartForwarded();
+            request.answerPartForwarded(true);
         }
         // WHEN
         mClock.advance(TOO_LATE);
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/request/NodeExitTest.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/request/NodeExitTest.java
@@ -83,7 +83,7 @@
         // GIVEN
         RequestStateMachine request = started(TestRequests.of(RequestKind.STREAM));
         request.dispatched(ENDPOINT, false);
-        request.answerPartForwarded();
+        request.answerPartForwarded(true);
         // WHEN
         request.nodeExits();
         // THEN
