--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/RawCaller.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/RawCaller.java
@@ -30,6 +30,7 @@
     private int mResumeAfter;
     private long mFirstReadMilliseconds;
     private int mReceiveBuffer;
+    private int mGapMilliseconds = PATIENCE_MILLISECONDS;
 
     private RawCaller(PlatformNodeProcess node, String target, String body) {
         mNode = node;
@@ -61,6 +62,12 @@
         return this;
     }
 
+    /** Gives up after a time without a byte. */
+    public RawCaller giveUpAfter(int gapMilliseconds) {
+        mGapMilliseconds = gapMilliseconds;
+        return this;
+    }
+
     /** Sends the request on a connection of its own and reads until the answer has ended. */
     public CompletableFuture<ReceivedStream> call() {
         CompletableFuture<ReceivedStream> result = new CompletableFuture<>();
@@ -79,7 +86,7 @@
             }
             URI address = URI.create(mNode.callers());
             socket.connect(new InetSocketAddress(address.getHost(), address.getPort()));
-            socket.setSoTimeout(PATIENCE_MILLISECONDS);
+            socket.setSoTimeout(mGapMilliseconds);
             socket.getOutputStream().write(request().getBytes(StandardCharsets.UTF_8));
             ScriptedStream.pause(mFirstReadMilliseconds);
             read(socket.getInputStream(), received);
