Bound the buffered answers of a node over all of its requests

What callers saw: a node that ran out of memory, and with it the requests of everybody on that node, if a faulty endpoint kept an event or an answer unfinished on hundreds of requests at once.

Cause: each request may buffer 1 MiB of an unfinished event, failure or refusal, 256 KiB of a success, and a whole failure while another endpoint is tried. Nothing bounded the sum. A failed attempt also kept its buffer until the next attempt got an answer.

Fix: AnswerBuffers counts what all requests of a node buffer. The end of an attempt releases its buffer.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
@@ -72,10 +72,25 @@
         if (!isSuccess() || mBuffered.readableBytes() <= MAXIMUM_BUFFERED_ANSWER_BYTES) {
             return false;
         }
+        forwardBuffered();
+        return true;
+    }
+
+    /** Returns the number of bytes that wait for the rest of the answer, or of an event. */
+    int bufferedBytes() {
+        return mSplitter.partialBytes() + mBuffered.readableBytes();
+    }
+
+    /** Returns whether the buffered part can be forwarded before the answer is complete. */
+    boolean canForwardBuffered() {
+        return isSuccess() && !mForwardsEvents && mBuffered.isReadable();
+    }
+
+    /** Forwards the buffered part; the rest of the answer is forwarded as it arrives. */
+    void forwardBuffered() {
         startAnswer(lengthOf(mHead));
         mCaller.write(takeBuffered());
         mCaller.flush();
-        return true;
     }
 
     /** Returns whether one event, or one error answer, exceeds the size limit. */
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/ForwardedRequest.java
@@ -39,7 +39,8 @@
  *
  * <p>Confined to the event loop of the forwarder.
  */
-final class ForwardedRequest implements RequestOutbox, ExchangeListener, CallerListener {
+final class ForwardedRequest
+        implements RequestOutbox, ExchangeListener, CallerListener, AnswerBuffers.Holder {
     // An idempotent request is retried at another endpoint after this multiple of its target
     // latency.
     private static final int ATTEMPT_TIMEOUT_FACTOR = 3;
@@ -207,11 +208,18 @@
             mForwarder.attemptEnded(mAttempt, outcome, mForwardedParts);
             mAttempt = null;
         }
+        mAnswerWriter.reset();
+        recordBufferedBytes();
     }
 
     @Override
     public void forwardBufferedAnswer() {
         BufferedAnswer answer = mBufferedAnswer;
+        if (answer == null) {
+            // It was released for want of memory.
+            fail(ErrorKind.ENDPOINT_FAILED, 0);
+            return;
+        }
         mBufferedAnswer = null;
         mAnswerWriter.writeBuffered(answer);
     }
@@ -231,13 +239,33 @@
         cancel(mDeadlineTimer);
         cancel(mAttemptTimer);
         mAnswerWriter.reset();
-        if (mBufferedAnswer != null) {
-            mBufferedAnswer.release();
-            mBufferedAnswer = null;
-        }
+        dropBufferedAnswer();
+        recordBufferedBytes();
         mForwarder.ended(this);
     }
 
+    @Override
+    public void releaseBuffer() {
+        if (mAnswerWriter.canForwardBuffered()) {
+            mAnswerWriter.forwardBuffered();
+            partForwarded(true);
+            return;
+        }
+        boolean isUnfinished = mAnswerWriter.bufferedBytes() > 0;
+        mLog.exchangeFailed(
+                mResolved,
+                mStateMachine.endpoint(),
+                isUnfinished
+                        ? "the unfinished answer takes too much memory"
+                        : "the answer takes too much memory while another endpoint is tried",
+                mForwardedParts);
+        if (isUnfinished) {
+            mStateMachine.attemptFailed(AttemptFailure.BROKEN, false);
+        } else {
+            dropBufferedAnswer();
+        }
+    }
+
     @Override
     public void disconnected() {
         mStateMachine.callerLeft();
@@ -272,19 +300,12 @@
         boolean isFirstPart = !mAnswerWriter.hasStarted();
         boolean forwarded = mAnswerWriter.content(content);
         if (forwarded) {
-            mForwardedParts++;
-            mCrashes.partForwarded();
-            if (isFirstPart) {
-                mFirstPartMilliseconds = ageMilliseconds();
-                mLog.firstPartForwarded(mResolved);
-            }
-            reportFirstToken();
-            mStateMachine.answerPartForwarded();
-            pauseForSlowCaller();
+            partForwarded(isFirstPart);
         }
         if (mAnswerWriter.isTooLarge()) {
             mStateMachine.attemptFailed(AttemptFailure.BROKEN, false);
         }
+        recordBufferedBytes();
     }
 
     @Override
@@ -359,10 +380,32 @@
     }
 
     private void bufferAnswer() {
+        dropBufferedAnswer();
+        mBufferedAnswer = mAnswerWriter.takeBufferedAnswer();
+    }
+
+    private void dropBufferedAnswer() {
         if (mBufferedAnswer != null) {
             mBufferedAnswer.release();
+            mBufferedAnswer = null;
         }
-        mBufferedAnswer = mAnswerWriter.takeBufferedAnswer();
+    }
+
+    private void recordBufferedBytes() {
+        long whole = mBufferedAnswer == null ? 0 : mBufferedAnswer.body().readableBytes();
+        mForwarder.answerBuffers().resized(this, whole + mAnswerWriter.bufferedBytes());
+    }
+
+    private void partForwarded(boolean isFirstPart) {
+        mForwardedParts++;
+        mCrashes.partForwarded();
+        if (isFirstPart) {
+            mFirstPartMilliseconds = ageMilliseconds();
+            mLog.firstPartForwarded(mResolved);
+        }
+        reportFirstToken();
+        mStateMachine.answerPartForwarded();
+        pauseForSlowCaller();
     }
 
     private void reportFirstToken() {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/Forwarder.java
@@ -65,6 +65,7 @@
     private final ForwardedDemand mDemand;
     private final RetryAfterRule mRetryAfter;
     private final StreamPace mPace;
+    private final AnswerBuffers mAnswerBuffers;
     private RequestScheduler mScheduler;
     private long mNextRunNumber;
     private Optional<StopRule> mStopRule = Optional.empty();
@@ -80,12 +81,25 @@
             ForwarderDependencies dependencies,
             EndpointRegistry registry,
             Supplier<Optional<ForwardingConfiguration>> configuration) {
+        this(
+                dependencies,
+                registry,
+                configuration,
+                AnswerBuffers.forHeap(Runtime.getRuntime().maxMemory()));
+    }
+
+    Forwarder(
+            ForwarderDependencies dependencies,
+            EndpointRegistry registry,
+            Supplier<Optional<ForwardingConfiguration>> configuration,
+            AnswerBuffers answerBuffers) {
         mDependencies = Objects.requireNonNull(dependencies, "dependencies");
         mRegistry = Objects.requireNonNull(registry, "registry");
         mConfiguration = Objects.requireNonNull(configuration, "configuration");
         mDemand = new ForwardedDemand(dependencies.clock());
         mRetryAfter = new RetryAfterRule(dependencies.random());
         mPace = new StreamPace(dependencies.clock());
+        mAnswerBuffers = Objects.requireNonNull(answerBuffers, "answerBuffers");
     }
 
     /** Sets the queue; must be called before the first request. */
@@ -294,6 +308,10 @@
         mScheduler.attemptEnded(attempt.attemptId(), outcome, events);
     }
 
+    AnswerBuffers answerBuffers() {
+        return mAnswerBuffers;
+    }
+
     StreamPace pace() {
         return mPace;
     }
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/LoopbackForwarder.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/LoopbackForwarder.java
@@ -53,6 +53,9 @@
  * streams that may be resumed, others may be repeated.
  */
 final class LoopbackForwarder implements AutoCloseable {
+    /** Heap of a node that runs with -Xmx96m. */
+    static final long NODE_HEAP_BYTES = 96L * 1024 * 1024;
+
     private static final int CONNECTIONS = 1_000;
 
     private final MultiThreadIoEventLoopGroup mGroup =
@@ -64,7 +67,12 @@
     private final Forwarder mForwarder;
     private final CallerServer mServer;
 
+    /** Starts a forwarder whose routes have a timeout, in a process with a small heap. */
     LoopbackForwarder(Duration timeout) {
+        this(timeout, NODE_HEAP_BYTES);
+    }
+
+    LoopbackForwarder(Duration timeout, long heapBytes) {
         ForwardingConfiguration configuration =
                 ForwardingConfiguration.builder(1)
                         .route(route("/stream/", RequestKind.STREAM, timeout))
@@ -74,7 +82,11 @@
                                         "service", "/health", CONNECTIONS, Optional.empty()))
                         .build();
         mForwarder =
-                new Forwarder(dependencies(), new Registry(), () -> Optional.of(configuration));
+                new Forwarder(
+                        dependencies(),
+                        new Registry(),
+                        () -> Optional.of(configuration),
+                        AnswerBuffers.forHeap(heapBytes));
         mForwarder.setScheduler(
                 RequestScheduler.builder(mClock, new OrderedRouter(), mForwarder).build());
         mServer = new CallerServer(mLoop, mForwarder, mClock);
@@ -101,6 +113,12 @@
         return mLoop.submit(mForwarder::underWay).syncUninterruptibly().getNow();
     }
 
+    long bufferedBytes() {
+        return mLoop.submit(() -> mForwarder.answerBuffers().totalBytes())
+                .syncUninterruptibly()
+                .getNow();
+    }
+
     @Override
     public void close() {
         mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- a/forwarding/src/test/java/org/foxtailridge/forwarding/http/FaultyEndpoint.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/http/FaultyEndpoint.java
@@ -29,6 +29,7 @@
     public static final long WITHOUT_END = Long.MAX_VALUE;
 
     private static final int WRITE_BYTES = 16 * 1024;
+    private static final int BACKLOG = 1_024;
 
     private final ExecutorService mThreads =
             Executors.newCachedThreadPool(
@@ -40,7 +41,6 @@
     private final AtomicLong mSentBytes = new AtomicLong();
     private final AtomicInteger mRequests = new AtomicInteger();
     private final AtomicInteger mOpenConnections = new AtomicInteger();
-    private final AtomicInteger mWaiting = new AtomicInteger();
     private final ServerSocket mServer;
     private final byte[] mStart;
     private final byte[] mRepeated;
@@ -62,7 +62,7 @@
     /** Starts an endpoint that repeats bytes up to a number, then keeps the connection open. */
     public static FaultyEndpoint start(String start, String repeated, long repeatedBytes) {
         try {
-            ServerSocket server = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+            ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
             FaultyEndpoint endpoint = new FaultyEndpoint(server, start, repeated, repeatedBytes);
             endpoint.mThreads.execute(endpoint::accept);
             return endpoint;
@@ -91,11 +91,6 @@
         return mOpenConnections.get();
     }
 
-    /** Returns the number of connections on which all bytes were sent. */
-    public int finishedConnections() {
-        return mWaiting.get();
-    }
-
     @Override
     public void close() {
         mThreads.shutdownNow();
@@ -129,7 +124,6 @@
                 output.write(mRepeated);
                 mSentBytes.addAndGet(mRepeated.length);
             }
-            mWaiting.incrementAndGet();
             while (socket.getInputStream().read() >= 0) {
                 // Requests that follow are not answered.
             }
