--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/RequestsAtNodeStopTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/RequestsAtNodeStopTest.java
@@ -10,14 +10,19 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.foxtailridge.endtoend.harness.CallerAnswer;
 import org.foxtailridge.endtoend.harness.PlatformFleet;
 import org.foxtailridge.endtoend.harness.PlatformNodeProcess;
 import org.foxtailridge.standins.platform.OperatorConfiguration;
+import org.foxtailridge.standins.platform.WorkerExecution;
 import org.foxtailridge.standins.platform.WorkerStandin;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -30,6 +35,7 @@
 class RequestsAtNodeStopTest {
     private static final Duration PATIENCE = Duration.ofSeconds(30);
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(12);
+    private static final int CALLERS = 8;
     private static final int SOCKET_TIMEOUT_MILLISECONDS = 20_000;
 
     private PlatformFleet mFleet;
@@ -92,6 +98,49 @@
         }
     }
 
+    @Test
+    void should_answer_every_call_that_it_passes_on_while_callers_use_it_to_the_end()
+            throws Exception {
+        // GIVEN callers that keep their connections open
+        startVault(16, Duration.ofMillis(50));
+        PlatformNodeProcess node = mFleet.node(1);
+        Set<String> unanswered = ConcurrentHashMap.newKeySet();
+        ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+        for (int caller = 0; caller < CALLERS; caller++) {
+            String name = "caller " + caller;
+            callers.submit(() -> callUntilItIsGone(node, name, unanswered));
+        }
+        await().atMost(PATIENCE).until(() -> mWorker.executions().size() > CALLERS);
+        // WHEN
+        node.terminate();
+        node.waitForExit();
+        callers.shutdown();
+        // THEN
+        assertThat(callers.awaitTermination(PATIENCE.toSeconds(), TimeUnit.SECONDS)).isTrue();
+        assertThat(mWorker.executions())
+                .extracting(WorkerExecution::body)
+                .noneMatch(unanswered::contains);
+    }
+
+    private void callUntilItIsGone(
+            PlatformNodeProcess node, String caller, Set<String> unanswered) {
+        int number = 0;
+        while (node.isAlive()) {
+            String body = caller + " call " + number++;
+            CompletableFuture<CallerAnswer> answer =
+                    mFleet.call(
+                            node,
+                            "POST",
+                            "/vault/lot",
+                            PlatformFleet.KEY,
+                            body,
+                            Duration.ofSeconds(1));
+            if (statusesOf(List.of(answer)).contains(0)) {
+                unanswered.add(body);
+            }
+        }
+    }
+
     private void startVault(int slots, Duration answerTime) {
         mWorker =
                 WorkerStandin.builder("i-vault", "vault", "nadi-b", mFleet.store())
