Count a planned stop from the time when its signal may have been sent

Cause: the node counted its stop from the moment at which it handled the signal, 2.5 s late: it accepted every request for another 2.3 s and would have ended 2.1 s after the SIGKILL.

SignalTime measures pauses of the event loop. A signal that is handled within 500 ms of the end of a pause may have been sent at its start, and the stop counts from there. Callers are still served for 2.3 s after the handling, as the readiness probes take the node out of rotation only then.

Evidence: RequestsAtNodeStopTest pauses a node for 2.5 s while its SIGTERM is sent; without the change its call is not answered before the SIGKILL is due, with it it gets 504 in time.

--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/RequestsAtNodeStopTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/RequestsAtNodeStopTest.java
@@ -35,6 +35,8 @@
 class RequestsAtNodeStopTest {
     private static final Duration PATIENCE = Duration.ofSeconds(30);
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(12);
+    private static final Duration STOP_TIME = Duration.ofSeconds(8);
+    private static final Duration PAUSE = Duration.ofMillis(2_500);
     private static final int CALLERS = 8;
     private static final int SOCKET_TIMEOUT_MILLISECONDS = 20_000;
 
@@ -66,6 +68,25 @@
         assertThat(statusesOf(calls)).containsOnly(504);
     }
 
+    @Test
+    void should_end_in_time_when_it_stood_still_while_the_signal_was_sent() throws Exception {
+        // GIVEN
+        startVault(4, Duration.ofSeconds(11));
+        PlatformNodeProcess node = mFleet.node(1);
+        List<CompletableFuture<CallerAnswer>> calls = call(node, 1);
+        await().atMost(PATIENCE).until(() -> mWorker.executions().size() == 1);
+        // WHEN
+        node.pause();
+        node.terminate();
+        TimeUnit.MILLISECONDS.sleep(PAUSE.toMillis());
+        node.resume();
+        // THEN the call is answered before the platform would kill the process
+        assertThat(calls.get(0))
+                .succeedsWithin(STOP_TIME.minus(PAUSE))
+                .extracting(CallerAnswer::status)
+                .isEqualTo(504);
+    }
+
     @Test
     void should_not_cut_a_stream_that_waits_in_the_queue_of_a_stopping_node() throws IOException {
         // GIVEN an engine that runs one stream at a time, each for 2 s
--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/PlatformNodeProcess.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/PlatformNodeProcess.java
@@ -85,6 +85,16 @@
         mProcess.kill();
     }
 
+    /** Makes the process stand still, as on a machine that runs something else. */
+    public void pause() {
+        mProcess.signal("-STOP");
+    }
+
+    /** Lets a paused process run again. */
+    public void resume() {
+        mProcess.signal("-CONT");
+    }
+
     /** Asks the process to stop gracefully; doesn't wait. */
     public void terminate() {
         mProcess.terminate();
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/node/ForwardingNode.java
@@ -81,6 +81,7 @@
     private final NodeStreams mStreams;
     private final FleetRetryBudget mRetries;
     private final NodeCrashes mCrashes;
+    private final SignalTime mSignalTime;
     private final EndpointConnections mConnections;
     private final RequestScheduler mScheduler;
     private final Forwarder mForwarder;
@@ -116,6 +117,7 @@
                         mNetwork);
         mRetries = new FleetRetryBudget(settings.retries(), clock);
         mCrashes = new NodeCrashes(settings.name(), clock, mMembers, mNetwork);
+        mSignalTime = new SignalTime(clock);
         mConnections = new EndpointConnections(loop, ConnectionSettings.defaults(), clock);
         ExpectedTimeRouter router =
                 ExpectedTimeRouter.create(clock, routing(settings), incarnation);
@@ -184,7 +186,7 @@
         LogEvent.named("node_stopping")
                 .number("requests_under_way", mForwarder.underWay())
                 .writeTo(LOGGER);
-        Instant began = mClock.instant();
+        Instant began = mSignalTime.earliestSending();
         Instant end = began.plus(mSettings.stopTime()).minus(KILL_MARGIN);
         mForwarder.stop(began.plusMillis(ROTATION_EXIT_MILLISECONDS), end);
         mDuties.releaseAll();
@@ -201,8 +203,10 @@
                                 return null;
                             });
         }
-        mLoop.schedule(
-                () -> drain(end, stopped), ROTATION_EXIT_MILLISECONDS, TimeUnit.MILLISECONDS);
+        // Callers still come until the readiness probes have failed, however late the signal was.
+        long untilEnd = Duration.between(mClock.instant(), end).toMillis();
+        long untilDrain = Math.max(0, Math.min(ROTATION_EXIT_MILLISECONDS, untilEnd));
+        mLoop.schedule(() -> drain(end, stopped), untilDrain, TimeUnit.MILLISECONDS);
         return stopped;
     }
 
@@ -275,6 +279,7 @@
     private void startPeriodicWork() {
         publishOwnRecord();
         PeriodicTasks tasks = new PeriodicTasks(mLoop, mClock, this::wakeUpMilliseconds);
+        tasks.add(TICK_MILLISECONDS, mSignalTime::tick);
         tasks.add(TICK_MILLISECONDS, mStreams::tick);
         tasks.add(TICK_MILLISECONDS, () -> mLoads.tick(mEndpoints));
         tasks.add(TICK_MILLISECONDS, mPlacement::tick);
