--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/RawStreamFleet.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/RawStreamFleet.java
@@ -103,6 +103,17 @@
         return mFleet.node(index);
     }
 
+    /** Starts a node that has ended, and returns when it is ready. */
+    public void restart(int index) {
+        mFleet.restart(index);
+        mFleet.awaitReady(node(index));
+    }
+
+    /** Returns the number of nodes. */
+    public int nodes() {
+        return mFleet.nodes().size();
+    }
+
     /**
      * Checks rule ORDER: a complete stream has each event once, in order, to the last; any other
      * has the first of them.
--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/StreamFault.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/harness/StreamFault.java
@@ -150,6 +150,11 @@
     private static final long WRITTEN_MILLISECONDS = 20;
     private static final long LATE_MILLISECONDS = 60;
 
+    /** Returns whether the worker's process ends. */
+    public boolean kills() {
+        return name().startsWith("KILLED");
+    }
+
     /** Returns what workers write with this fault. */
     public AnswerScript script(AnswerFraming framing) {
         return answer -> {
@@ -162,6 +167,17 @@
         };
     }
 
+    /** Writes an answer with this fault, whichever attempt it answers. */
+    public void play(RawAnswer answer, AnswerFraming framing, long pauseMilliseconds)
+            throws IOException {
+        ScriptedStream stream = ScriptedStream.of(answer, framing, LAST).with(pauseMilliseconds, 0);
+        if (this == STARTS_OVER && answer.resumedAfter() > 0) {
+            writeAgain(answer, stream);
+        } else {
+            write(answer, stream);
+        }
+    }
+
     abstract void write(RawAnswer answer, ScriptedStream stream) throws IOException;
 
     void writeAgain(RawAnswer answer, ScriptedStream stream) throws IOException {
