--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/StreamOrderTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/StreamOrderTest.java
@@ -124,6 +124,23 @@
         RawStreamFleet.assertOrder(stream, events());
     }
 
+    // Guards against a caller that comes back behind its last event and gets the first ones again.
+    @ParameterizedTest(name = "{0}")
+    @EnumSource(AnswerFraming.class)
+    void should_not_start_over_for_a_caller_that_names_its_last_event(AnswerFraming framing) {
+        // GIVEN
+        sFleet.workers().setScript(answer -> StreamFault.STARTS_OVER.play(answer, framing, 0));
+        int received = StreamFault.LAST / 2;
+        // WHEN
+        ReceivedStream stream =
+                RawCaller.of(sFleet.node(0), RawStreamFleet.RESUMABLE, mBody)
+                        .resumeAfter(received)
+                        .call()
+                        .join();
+        // THEN
+        RawStreamFleet.assertOrder(stream, events().subList(received, StreamFault.LAST));
+    }
+
     // Guards against a retry that repeats an event which the caller can't name to go on behind it.
     @ParameterizedTest(name = "{0}")
     @EnumSource(AnswerFraming.class)
