--- a/forwarding/src/test/java/org/foxtailridge/forwarding/front/LoopbackForwarder.java
+++ b/forwarding/src/test/java/org/foxtailridge/forwarding/front/LoopbackForwarder.java
@@ -1,5 +1,6 @@
 package org.foxtailridge.forwarding.front;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -59,6 +60,7 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop mLoop = mGroup.next();
     private final Clock mClock = MonotonicClock.start();
+    private final SimpleMeterRegistry mMeters = new SimpleMeterRegistry();
     private final Map<EndpointName, EndpointAddress> mEndpoints =
             Collections.synchronizedMap(new LinkedHashMap<>());
     private final Forwarder mForwarder;
@@ -97,6 +99,11 @@
         return mServer.address();
     }
 
+    /** Returns the sum of a counter over all values of its tags. */
+    double counted(String counter) {
+        return mMeters.find(counter).counters().stream().mapToDouble(Counter::count).sum();
+    }
+
     int underWay() {
         return mLoop.submit(mForwarder::underWay).syncUninterruptibly().getNow();
     }
@@ -139,7 +146,7 @@
                 new CrashLedger(mClock, message -> {}),
                 new PromptCrashLedger(mClock, message -> {}, part -> true),
                 (endpoint, model, onResident) -> () -> {},
-                new RequestLog(mClock, new SimpleMeterRegistry(), () -> 1, () -> 0));
+                new RequestLog(mClock, mMeters, () -> 1, () -> 0));
     }
 
     private final class Registry implements EndpointRegistry {
