--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnections.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnections.java
@@ -84,7 +84,7 @@
         EndpointConnection idle = pool.takeIdle(repeatable);
         if (idle != null) {
             exchange.start(idle);
-        } else if (pool.mOpen >= limit && !pool.closeOldest()) {
+        } else if (pool.mOpen - pool.mChecking >= limit && !pool.closeOldest()) {
             mLoop.execute(() -> exchange.failUnsent("all " + limit + " connections are in use"));
         } else {
             pool.connect(exchange);
@@ -127,6 +127,8 @@
         private final EndpointAddress mAddress;
         private final Deque<EndpointConnection> mIdle = new ArrayDeque<>();
         private int mOpen;
+        // Connections of checks, which don't count towards the limit until they are idle.
+        private int mChecking;
 
         private Pool(EndpointAddress address) {
             mAddress = address;
@@ -191,16 +193,18 @@
         @Override
         public void checkAccepting(Consumer<Boolean> result) {
             EndpointConnection connection = newConnection();
+            mChecking++;
             open(connection)
                     .addListener(
                             (ChannelFuture connected) -> {
                                 if (connected.isSuccess()) {
                                     mLoop.schedule(
-                                            () -> result.accept(keepIfOpen(connection)),
+                                            () -> endCheck(connection, result),
                                             PROCESS_EXIT_MILLISECONDS,
                                             TimeUnit.MILLISECONDS);
                                 } else {
                                     mOpen--;
+                                    mChecking--;
                                     LOGGER.info(
                                             "endpoint {} accepts no connections: {}",
                                             mAddress,
@@ -210,12 +214,13 @@
                             });
         }
 
-        private boolean keepIfOpen(EndpointConnection connection) {
-            boolean open = connection.isOpen();
-            if (open) {
+        private void endCheck(EndpointConnection connection, Consumer<Boolean> result) {
+            mChecking--;
+            boolean accepting = connection.isOpen();
+            if (accepting) {
                 becameIdle(connection);
             }
-            return open;
+            result.accept(accepting);
         }
 
         @Override
