Bound the number of headers of an endpoint's answer

What callers saw: a node that ran out of memory if a faulty endpoint stopped inside the heads of hundreds of answers with many short headers.

Cause: a head was bounded by its 32 KiB on the wire only. Each header occupies an entry, two strings and their arrays, so that a head of short headers takes several times its bytes.

Fix: a head, or the trailers, of an answer have at most 128 headers; one with more is not readable and fails the request.

--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnections.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnections.java
@@ -9,6 +9,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import java.time.Clock;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -113,7 +115,20 @@
                 .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
                 .setMaxHeaderSize(mSettings.maximumHeadBytes())
                 .setMaxChunkSize(MAXIMUM_CHUNK_BYTES)
-                .setValidateHeaders(false);
+                .setHeadersFactory(new BoundedHeadersFactory())
+                .setTrailersFactory(new BoundedHeadersFactory());
+    }
+
+    private static final class BoundedHeadersFactory implements HttpHeadersFactory {
+        @Override
+        public HttpHeaders newHeaders() {
+            return new BoundedHttpHeaders();
+        }
+
+        @Override
+        public HttpHeaders newEmptyHeaders() {
+            return newHeaders();
+        }
     }
 
     private final class Pool implements EndpointConnection.Owner {
