--- a/end-to-end/src/test/java/org/foxtailridge/endtoend/StreamOrderSoakTest.java
+++ b/end-to-end/src/test/java/org/foxtailridge/endtoend/StreamOrderSoakTest.java
@@ -17,8 +17,7 @@
 /**
  * Overlapping streams while workers break them off and workers and nodes come and go.
  *
- * <p>{@code -Dsoak.first-seed=1 -Dsoak.seeds=50 -Dsoak.seconds=60} plays more by hand; they are
- * given to the tests by {@code -DargLine}.
+ * <p>{@code -Dsoak.first-seed=1 -Dsoak.seeds=50 -Dsoak.seconds=60} plays more by hand.
  */
 class StreamOrderSoakTest {
     private static final Set<StreamFault> BROKEN_OFF =
