--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EndpointConnection.java
@@ -188,7 +188,7 @@
         mSkipping = match == AnswerMatch.OTHER_REQUEST;
         mUnmatchedAnswer |= mSkipping && !interim;
         if (mSkipping) {
-            mSkippedAnswers++;
+            mSkippedAnswers += interim ? 0 : 1;
             if (mSkippedAnswers > MAXIMUM_SKIPPED_ANSWERS) {
                 failAndClose("more than " + MAXIMUM_SKIPPED_ANSWERS + " other answers arrived");
             }
