--- a/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/front/AnswerWriter.java
@@ -152,7 +152,7 @@
     boolean isBrokenOff() {
         boolean framed = BodyFraming.of(mHead) != BodyFraming.CONNECTION;
         if (mForwardsEvents) {
-            return mSplitter.partialBytes() > 0 || (!framed && !mHasEventOfAttempt);
+            return mSplitter.hasPartialEvent() || (!framed && !mHasEventOfAttempt);
         }
         return mStreams && isSuccess() && !framed;
     }
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSequence.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSequence.java
@@ -21,23 +21,18 @@
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final byte COLON = ':';
-    private static final byte SPACE = ' ';
     private static final String ID_FIELD = "id";
     private static final String DATA_FIELD = "data";
     // A field without a value may be written without a colon.
     private static final String[] FIELDS = {ID_FIELD, DATA_FIELD, "event", "retry"};
-    private static final long NOT_A_NUMBER = -1;
-    // The longest number that fits into 64 bits whatever its digits.
-    private static final int MAXIMUM_DIGITS = 18;
+    private static final String NONE = "";
 
-    private String mLastId;
-    private long mLastNumber = NOT_A_NUMBER;
+    private String mLastId = NONE;
+    private String mLastNumber = NONE;
     private String mViolation;
     private boolean mContinuable = true;
-    // Fields of the event that is being read; an id starts at 0 if there is none.
-    private int mIdStart;
-    private int mIdEnd;
-    private boolean mHasData;
+    private String mIdOfEvent = NONE;
+    private boolean mEventHasData;
 
     /**
      * Creates a sequence.
@@ -46,11 +41,7 @@
      */
     public EventSequence(Optional<String> resumeAfter) {
         Objects.requireNonNull(resumeAfter, "resumeAfter");
-        resumeAfter.ifPresent(
-                id -> {
-                    mLastId = id;
-                    mLastNumber = number(id);
-                });
+        resumeAfter.map(String::strip).ifPresent(this::setLast);
     }
 
     /**
@@ -62,8 +53,6 @@
     public int accept(ByteBuf events) {
         int start = events.readerIndex();
         int accepted = start;
-        int acceptedIdStart = 0;
-        int acceptedIdEnd = 0;
         int index = start;
         while (mViolation == null && index < events.writerIndex()) {
             int lineFeed = events.indexOf(index, events.writerIndex(), LINE_FEED);
@@ -71,19 +60,11 @@
             int end = endOfLine(events, index, lineFeed < 0 ? next : lineFeed);
             if (end > index) {
                 readLine(events, index, end);
-            } else if (endEvent(events)) {
+            } else if (endEvent()) {
                 accepted = next;
-                if (mIdStart > 0) {
-                    acceptedIdStart = mIdStart;
-                    acceptedIdEnd = mIdEnd;
-                }
-                clearEvent();
             }
             index = next;
         }
-        if (acceptedIdStart > 0) {
-            mLastId = text(events, acceptedIdStart, acceptedIdEnd);
-        }
         return accepted - start;
     }
 
@@ -91,7 +72,7 @@
      * Returns the identifier of the last accepted event that has one, or the one to resume after.
      */
     public Optional<String> lastEventId() {
-        return Optional.ofNullable(mLastId);
+        return Optional.of(mLastId).filter(id -> !id.isEmpty());
     }
 
     /** Returns why an event was not accepted; empty if all were. */
@@ -124,45 +105,49 @@
         if (colon < 0 && !isField(events, start, end)) {
             mViolation = "a line of an event is no field";
         } else if (isNamed(events, start, nameEnd, DATA_FIELD)) {
-            mHasData = true;
+            mEventHasData = true;
         } else if (colon >= 0 && isNamed(events, start, nameEnd, ID_FIELD)) {
-            boolean hasSpace = colon + 1 < end && events.getByte(colon + 1) == SPACE;
-            int valueStart = hasSpace ? colon + 2 : colon + 1;
-            mIdStart = valueStart < end ? valueStart : 0;
-            mIdEnd = end;
+            readId(text(events, colon + 1, end).strip());
         }
     }
 
-    /** Returns whether the event that has been read may follow the ones before it. */
-    private boolean endEvent(ByteBuf events) {
-        if (mIdStart == 0) {
-            mContinuable &= !mHasData;
-            return true;
+    private void readId(String id) {
+        if (!mIdOfEvent.isEmpty()) {
+            // Joined from two events, the first of which was cut behind a line.
+            mViolation = "an event has the identifiers " + mIdOfEvent + " and " + id;
         }
-        long number = number(events, mIdStart, mIdEnd);
-        if (!follows(events, number)) {
-            Object last = mLastNumber == NOT_A_NUMBER ? mLastId : mLastNumber;
-            mViolation = "event " + text(events, mIdStart, mIdEnd) + " follows event " + last;
+        mIdOfEvent = id;
+    }
+
+    /** Returns whether the event that has been read may follow the ones before it. */
+    private boolean endEvent() {
+        if (mIdOfEvent.isEmpty()) {
+            mContinuable &= !mEventHasData;
+        } else if (follows(mIdOfEvent)) {
+            setLast(mIdOfEvent);
+            mContinuable = true;
+        } else {
+            mViolation = "event " + mIdOfEvent + " follows event " + mLastId;
             return false;
         }
-        if (number == NOT_A_NUMBER) {
-            mLastId = text(events, mIdStart, mIdEnd);
-        }
-        mLastNumber = number;
-        mContinuable = true;
+        clearEvent();
         return true;
     }
 
-    private boolean follows(ByteBuf events, long number) {
-        if (number == NOT_A_NUMBER) {
-            return !text(events, mIdStart, mIdEnd).equals(mLastId);
+    private boolean follows(String id) {
+        return isNumber(id) ? isGreater(id, mLastNumber) : !id.equals(mLastId);
+    }
+
+    private void setLast(String id) {
+        mLastId = id;
+        if (isNumber(id)) {
+            mLastNumber = id;
         }
-        return number > mLastNumber;
     }
 
     private void clearEvent() {
-        mIdStart = 0;
-        mHasData = false;
+        mIdOfEvent = NONE;
+        mEventHasData = false;
     }
 
     private static boolean isField(ByteBuf events, int start, int end) {
@@ -186,27 +171,33 @@
         return true;
     }
 
-    private static long number(ByteBuf events, int start, int end) {
-        if (end - start > MAXIMUM_DIGITS) {
-            return NOT_A_NUMBER;
-        }
-        long number = 0;
-        for (int index = start; index < end; index++) {
-            int digit = events.getByte(index) - '0';
-            if (digit < 0 || digit > 9) {
-                return NOT_A_NUMBER;
+    private static boolean isNumber(String id) {
+        for (int index = 0; index < id.length(); index++) {
+            if (id.charAt(index) < '0' || id.charAt(index) > '9') {
+                return false;
             }
-            number = number * 10 + digit;
         }
-        return number;
+        return !id.isEmpty();
+    }
+
+    /** Compares numbers with any number of digits; any number is greater than none. */
+    private static boolean isGreater(String number, String other) {
+        if (other.isEmpty()) {
+            return true;
+        }
+        String digits = withoutLeadingZeros(number);
+        String otherDigits = withoutLeadingZeros(other);
+        return digits.length() == otherDigits.length()
+                ? digits.compareTo(otherDigits) > 0
+                : digits.length() > otherDigits.length();
     }
 
-    private static long number(String id) {
-        boolean isNumber =
-                !id.isEmpty()
-                        && id.length() <= MAXIMUM_DIGITS
-                        && id.chars().allMatch(digit -> digit >= '0' && digit <= '9');
-        return isNumber ? Long.parseLong(id) : NOT_A_NUMBER;
+    private static String withoutLeadingZeros(String number) {
+        int first = 0;
+        while (first < number.length() - 1 && number.charAt(first) == '0') {
+            first++;
+        }
+        return number.substring(first);
     }
 
     private static String text(ByteBuf bytes, int start, int end) {
--- a/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSplitter.java
+++ b/forwarding/src/main/java/org/foxtailridge/forwarding/http/EventSplitter.java
@@ -47,11 +47,23 @@
         return mPartial.readableBytes();
     }
 
+    /**
+     * Returns whether the buffered bytes belong to an event. Any number of empty lines may follow
+     * the last complete one.
+     */
+    public boolean hasPartialEvent() {
+        return mPartial.forEachByte(EventSplitter::isLineEnd) >= 0;
+    }
+
     /** Releases the buffered bytes. */
     public void release() {
         takePartial().release();
     }
 
+    private static boolean isLineEnd(byte value) {
+        return value == LINE_FEED || value == CARRIAGE_RETURN;
+    }
+
     /** Copies what follows the complete events. */
     private static ByteBuf rest(ByteBuf bytes, int from) {
         int length = bytes.writerIndex() - from;
